--- a/cmd/adapter/host.go
+++ b/cmd/adapter/host.go
@@ -8,8 +8,9 @@
 	"strconv"
 	"time"
 
-	"elderwall/decide"
-	"elderwall/internal/wire"
+	"reachwind/decide"
+	"reachwind/internal/settings"
+	"reachwind/internal/wire"
 )
 
 // instance is one router and the events it has not seen yet.
@@ -127,12 +128,12 @@
 		}
 		n = uint64(i)
 	}
-	facts, err := wire.ParseFacts(text)
+	facts, err := settings.Parse([]byte(text))
 	if err != nil {
 		r.Err = fmt.Errorf("PROVISION: %w", err)
 		return
 	}
-	cfg, err := config(facts)
+	cfg, err := facts.Config()
 	if err != nil {
 		r.Err = fmt.Errorf("PROVISION: %w", err)
 		return
@@ -154,14 +155,6 @@
 }
 
 var (
-	effects = map[string]decide.Effect{
-		"repeatable": decide.Repeatable, "by_key": decide.Keyed, "once": decide.Once}
-	scopes = map[string]decide.Scope{
-		"all": decide.ScopeAll, "zone": decide.ScopeZone, "cell": decide.ScopeGroup}
-	needs = map[string]decide.Consistency{"any": decide.AnyData, "bounded": decide.Bounded,
-		"session": decide.Session, "fresh": decide.Fresh, "write": decide.Write}
-	checks = map[string]decide.Checks{"": decide.ChecksOff,
-		"off": decide.ChecksOff, "refuse": decide.ChecksRefuse, "wait": decide.ChecksWait}
 	results = map[string]decide.Result{"pass": decide.Served, "fault": decide.Errored, "no_room": decide.Full,
 		"too_slow": decide.TimedOut, "no_route": decide.Unreachable, "cut": decide.Reset,
 		"undone": decide.Cancelled, "stale_send": decide.NotSent, "none_here": decide.NotHere}
@@ -169,46 +162,6 @@
 		"Persisted": decide.ListSaved, "Error": decide.ListError}
 )
 
-// config translates the settings.
-func config(f *wire.Facts) (*decide.Config, error) {
-	a, fi := &f.Allowed, &f.FamilyInfo
-	c := &decide.Config{
-		Self: f.Me, Fronts: f.Instances, Zone: f.Zone, Resolution: us(f.ResolutionUs), OverShare: f.OverShareWorth,
-		MaxAttempts: a.TryLimit, MayCancel: a.MayCancel, MayDuplicate: a.MayDuplicate,
-		MayProbe: a.Probes, MarksRetry: f.ClientHabits.MarksRetry,
-		AskList: f.Discovery == "ask", RemembersSessions: fi.SessionMarks == "remembered",
-		AnswersStamped: fi.AnswersStamped, ColdShare: f.Rules.ColdShare, ColdTime: us(f.Rules.ColdUs),
-		FallMultiple: f.Rules.FallMultiple, FallTime: us(f.Rules.OverloadForUs),
-		OnlyDrainBinds: f.Rules.DrainBindsAlone,
-	}
-	if a.RetryAfter {
-		c.MaxRetryAfter = us(a.MaxRetryAfterUs)
-	}
-	var ok bool
-	if c.Checks, ok = checks[fi.ServerChecks]; !ok {
-		return nil, fmt.Errorf("Facts: unknown ServerChecks %q", fi.ServerChecks)
-	}
-	for i := range f.Grades {
-		g := &f.Grades[i]
-		k := decide.Class{Name: g.Name, KeyWindow: us(g.WindowUs), Aim: us(g.AimUs), Deadline: us(g.DeadlineUs),
-			Worth: g.Value, LateWorth: g.LateValue, Bound: us(fi.ClassBoundUs[i])}
-		if k.Effect, ok = effects[g.Effect]; !ok {
-			return nil, fmt.Errorf("Facts: class %q: unknown Effect %q", g.Name, g.Effect)
-		}
-		if k.KeyScope, ok = scopes[g.KeyScope]; !ok && g.Effect == "by_key" {
-			return nil, fmt.Errorf("Facts: class %q: unknown KeyScope %q", g.Name, g.KeyScope)
-		}
-		if k.Consistency, ok = needs[fi.Consistency[i]]; !ok {
-			return nil, fmt.Errorf("Facts: class %q: unknown Consistency %q", g.Name, fi.Consistency[i])
-		}
-		c.Classes = append(c.Classes, k)
-	}
-	for _, t := range f.Tenants {
-		c.Tenants = append(c.Tenants, decide.Tenant{Name: t.Name, Share: t.Fraction, Rate: t.QuotaRps})
-	}
-	return c, nil
-}
-
 // event translates one event of an instance.
 func (h *host) event(name string, r *wire.Reader) {
 	id := r.Need("FrontId")
@@ -309,20 +262,7 @@
 
 // report translates a load report and skips values it does not know.
 func (in *instance) report(e *decide.Event, r *wire.Reader) {
-	r.Load("Load", func(key string, v float64) {
-		switch key {
-		case "x0":
-			e.Report.HasPosition = true
-			e.Report.Position = in.zero + time.Duration(math.Floor(v*1e6))*time.Microsecond
-		case "x1":
-			e.Report.HasRole, e.Report.Role = true, decide.Replica
-			if v == 1 {
-				e.Report.Role = decide.Primary
-			}
-		case "cpu_share":
-			e.Report.HasUtil, e.Report.Util = true, v
-		}
-	})
+	r.Load("Load", func(key string, v float64) { settings.Report(&e.Report, in.zero, key, v) })
 }
 
 // reply runs the routers that had events and writes their actions.
--- /dev/null
+++ b/cmd/reachwind/config.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"reachwind/decide"
+	"reachwind/internal/core"
+	"reachwind/internal/discovery"
+	"reachwind/internal/settings"
+)
+
+// config is a gateway's configuration, read and checked.
+type config struct {
+	name, listen, discovery string
+	seed                    uint64
+	memory                  int64 // bytes, 0 = no limit
+	sockets                 int
+	known                   []core.Listed
+	version                 int64
+	facts                   *settings.Facts
+	decide                  *decide.Config
+}
+
+const defaultSockets = 1024
+
+// load reads the configuration at path. The environment fills in names that it leaves out.
+func load(path string) (*config, error) {
+	if path == "" {
+		return nil, errors.New("no configuration: use --config or NODE_CONFIG")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	c, err := parse(text, os.Getenv)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+func parse(text []byte, env func(string) string) (*config, error) {
+	var f struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        struct {
+			Cores   float64
+			Memory  float64 `json:"memory_mb"`
+			Sockets int
+		}
+		Known    discovery.List
+		Settings json.RawMessage
+	}
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, err
+	}
+	c := &config{name: f.Name, listen: f.Listen, discovery: f.Discovery, version: f.Known.Generation,
+		memory: int64(f.Limits.Memory * (1 << 20)), sockets: f.Limits.Sockets}
+	for _, v := range []struct {
+		to   *string
+		name string
+	}{{&c.name, "NODE_NAME"}, {&c.listen, "NODE_LISTEN"}, {&c.discovery, "NODE_DISCOVERY"}} {
+		if *v.to == "" {
+			*v.to = env(v.name)
+		}
+	}
+	if _, _, err := net.SplitHostPort(c.listen); err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	if _, _, err := net.SplitHostPort(c.discovery); err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	if c.sockets == 0 {
+		c.sockets = defaultSockets
+	}
+	if c.sockets < leastSockets || c.memory < 0 || c.memory > 0 && c.memory < leastMemory {
+		return nil, fmt.Errorf("limits: at least %d sockets and %d MB are needed", leastSockets, leastMemory>>20)
+	}
+	var err error
+	if f.Seed == "" {
+		c.seed = uint64(time.Now().UnixNano())
+	} else if c.seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %q is no hexadecimal number", f.Seed)
+	}
+	if c.known, err = f.Known.Members(); err != nil {
+		return nil, fmt.Errorf("known: %w", err)
+	}
+	if c.facts, err = settings.Parse(f.Settings); err != nil {
+		return nil, err
+	}
+	if c.decide, err = c.facts.Config(); err != nil {
+		return nil, err
+	}
+	return c, c.decide.Validate()
+}
--- /dev/null
+++ b/cmd/reachwind/serve.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"reachwind/decide"
+	"reachwind/internal/core"
+	"reachwind/internal/discovery"
+	"reachwind/internal/pgfront"
+	"reachwind/internal/pgmember"
+	"reachwind/internal/pgwire"
+)
+
+const (
+	user     = "app"
+	database = "shop"
+
+	leastSockets  = 64
+	leastMemory   = 32 << 20
+	clientPart    = 0.5   // of the descriptors, for client connections
+	memberPart    = 0.375 // for member connections; the rest is for discovery, the listener and refusals
+	bufferPart    = 0.4   // of the memory, for buffers
+	softPart      = 0.8   // of the memory, above which the collector works harder
+	freeMemory    = 512 << 20
+	acceptAfter   = 500 * time.Millisecond // clients keep coming for 0.4 s after SIGTERM
+	lastMoment    = 600 * time.Millisecond // past the longest deadline; SIGKILL may come 0.1 s later
+	connectUsual  = 250 * time.Millisecond
+	idleUsual     = 15 * time.Second
+	graceUsual    = 250 * time.Millisecond
+	longestLeast  = 3 * time.Second
+	startWait     = 10 * time.Second
+	writeWait     = 5 * time.Second
+	refuseWait    = time.Second
+	buffersLeast  = 16
+	bufferReserve = 0.25 // of the buffers, for the members' answers
+)
+
+// serve runs the gateway until SIGTERM or SIGINT, then winds it down.
+func serve(c *config, log *slog.Logger) error {
+	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	runtime.GOMAXPROCS(1) // a gateway has one core: more threads would only take turns on it
+	memory := int64(freeMemory)
+	if c.memory > 0 {
+		memory = c.memory
+		debug.SetMemoryLimit(int64(softPart * float64(memory)))
+	}
+	router, err := decide.New(*c.decide, c.seed)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", c.listen)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = listener.Close() }()
+
+	f := c.facts
+	buffers := max(buffersLeast, int(bufferPart*float64(memory))/pgwire.BufSize)
+	bufs := pgwire.NewPool(buffers)
+	owner := core.New(core.NewClock(), router, log)
+	pool := pgmember.New(owner, pgmember.Config{User: user, Database: database,
+		Max:     int(memberPart * float64(c.sockets)),
+		Idle:    span(f.Allowed.IdleCloseUs, idleUsual),
+		Connect: span(f.Allowed.ConnectTimeoutUs, connectUsual),
+		Grace:   span(f.Rules.StopSendingWithinUs, graceUsual), DrainOnly: f.Rules.DrainBindsAlone,
+		Names: f.Feedback.Names}, bufs, pgmember.Dial, log)
+	dir := discovery.New(c.discovery, c.version, owner.List, pgmember.Dial, log)
+	owner.Connect(pool, dir)
+	owner.List(decide.ListSaved, c.known)
+	front := pgfront.New(owner, pgfront.Config{Classes: c.decide.Classes, Tenants: c.decide.Tenants,
+		Max: int(clientPart * float64(c.sockets)), ComeBack: c.decide.MaxRetryAfter,
+		Keep:      int(bufferReserve * float64(buffers)),
+		StartWait: startWait, WriteWait: writeWait, RefuseWait: refuseWait}, bufs, log)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go owner.Run(ctx)
+	go dir.Run(ctx)
+	failed := make(chan error, 1)
+	go func() { failed <- front.Serve(listener) }()
+	log.Info("serving", "name", c.name, "listen", c.listen, "members", len(c.known), "version", version)
+
+	select {
+	case err := <-failed:
+		return fmt.Errorf("accept: %w", err)
+	case <-term.Done():
+	}
+	return windDown(c, front, listener, log)
+}
+
+// windDown keeps accepting while clients may still be sent here, then answers
+// what was taken and ends when all connections are gone, at the latest before
+// the platform would end it.
+func windDown(c *config, front *pgfront.Server, listener net.Listener, log *slog.Logger) error {
+	log.Info("stopping", "accept_for", acceptAfter)
+	last := longestLeast
+	for i := range c.decide.Classes {
+		last = max(last, c.decide.Classes[i].Deadline)
+	}
+	late := time.After(last + lastMoment)
+	time.Sleep(acceptAfter)
+	_ = listener.Close()
+	done := make(chan struct{})
+	go func() {
+		front.Shutdown()
+		close(done)
+	}()
+	select {
+	case <-done:
+		log.Info("stopped")
+	case <-late:
+		log.Warn("stopped with connections open")
+	}
+	return nil
+}
+
+func span(us int64, usual time.Duration) time.Duration {
+	if us <= 0 {
+		return usual
+	}
+	return time.Duration(us) * time.Microsecond
+}
--- a/decide/api.go
+++ b/decide/api.go
@@ -94,6 +94,12 @@
 	Bound       Time // for Bounded
 }
 
+// Writes tells whether the class's requests write.
+func (k *Class) Writes() bool { return k.Consistency == Write }
+
+// HasSession tells whether the class's requests belong to sessions.
+func (k *Class) HasSession() bool { return k.Consistency == Write || k.Consistency == Session }
+
 // Tenant is a customer with a share of the service.
 type Tenant struct {
 	Name  string
@@ -266,15 +272,16 @@
 
 // The actions.
 const (
-	Send   ActionKind = iota // start an attempt of Request at Member, timed out after Timeout (0 = at the deadline)
-	Cancel                   // stop waiting for Attempt of Request
-	Refuse                   // final answer: no, trying again is harmless, best after After
-	Fail                     // final answer: failed, nothing is promised
-	Probe                    // probe Member
-	Wake                     // give one Timer event at At
-	Watch                    // ask for list changes from now on
-	Fetch                    // ask for the whole list once
-	Log                      // write Text in the log
+	// Send starts an attempt of Request at Member, timed out after Timeout (0 = at the deadline).
+	Send   ActionKind = iota
+	Cancel            // stop waiting for Attempt of Request
+	Refuse            // final answer: no, trying again is harmless, best after After
+	Fail              // final answer: failed, nothing is promised
+	Probe             // probe Member
+	Wake              // give one Timer event at At
+	Watch             // ask for list changes from now on
+	Fetch             // ask for the whole list once
+	Log               // write Text in the log
 )
 
 // Action is one thing the front must do. Kind tells which fields count.
@@ -284,6 +291,7 @@
 	Member  string
 	Attempt int
 	Timeout Time
+	Before  Time // Send: written whole by then, else not at all; 0 = any time
 	After   Time
 	At      Time
 	Text    string
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,4 +1,4 @@
-// The whole policy of elderwall, top to bottom. Its types, events and actions are in api.go, its records in
+// The whole policy of reachwind, top to bottom. Its types, events and actions are in api.go, its records in
 // state.go.
 package decide
 
@@ -551,7 +551,11 @@
 		m.trialGap = min(2*m.trialGap, trialMost)
 	}
 	// stores that can, drop it when it is of no use any more
-	r.do(Action{Kind: Send, Request: q.id, Member: m.ID, Timeout: max(q.usefulUntil()-r.now, clockSlack)})
+	act := Action{Kind: Send, Request: q.id, Member: m.ID, Timeout: max(q.usefulUntil()-r.now, clockSlack)}
+	if q.class.Consistency == Bounded && m != q.group.primary() && r.cfg.Checks == ChecksOff {
+		act.Before = m.pos + q.class.Bound // what is known of m does no longer
+	}
+	r.do(act)
 }
 
 // Outcomes.
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"elderwall/decide"
+	"reachwind/decide"
 )
 
 // A read follows a write of its session; then the group's primary changes.
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,393 @@
+// Package core runs the decision module for the socket code. One goroutine,
+// in Run, owns the module and the tables of requests and attempts; all else
+// reaches it through a queue that never blocks. It knows no protocol: fronts
+// hand it requests, members carry out attempts, and what travels between the
+// two is opaque to it.
+package core
+
+import (
+	"container/heap"
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"reachwind/decide"
+)
+
+// Time is a point on the gateway's clock, since the start of Unix time, or a span on it.
+type Time = decide.Time
+
+// Clock counts from the start of Unix time, to which it is anchored once; it
+// never goes back. Log positions and start times share this origin.
+type Clock struct {
+	start time.Time
+	unix  Time
+}
+
+// NewClock anchors a clock now.
+func NewClock() Clock {
+	now := time.Now()
+	return Clock{now, Time(now.UnixNano())}
+}
+
+// Now reads the clock.
+func (c Clock) Now() Time { return c.unix + time.Since(c.start) }
+
+// At is the point of the system's clock at t, for deadlines.
+func (c Clock) At(t Time) time.Time { return c.start.Add(t - c.unix) }
+
+// Payload is what a front and the members pass each other. It is released by
+// whoever holds it last.
+type Payload interface{ Release() }
+
+// Client is where a request's one answer goes. Answer must not block; it takes the answer's payload.
+type Client interface{ Answer(Answer) }
+
+// Verdict is the kind of a final answer.
+type Verdict int
+
+// The verdicts.
+const (
+	Served  Verdict = iota
+	Refused         // trying again is harmless, best after After
+	Failed          // nothing is promised
+)
+
+// Answer is the final answer to a request.
+type Answer struct {
+	Verdict Verdict
+	After   Time
+	Body    Payload // Served: what the member answered
+}
+
+// Request is one client request. The front fills in the first fields, and
+// leaves them alone once it has handed the request over.
+type Request struct {
+	Class, Tenant int // places in the settings; Tenant -1 = none
+	Group         int64
+	Session       string
+	Written       Time // the session's last write where clients carry it, 0 = none
+	Retry         bool
+	Until         Time // how long the client waits
+	Call          Payload
+	Client        Client
+
+	id       uint64
+	attempts []*Attempt
+	out      int
+	ended    bool
+}
+
+// Attempt is one try of a request at a member.
+type Attempt struct {
+	Request *Request
+	Member  string
+	Until   Time // timed out then
+	Before  Time // to be written whole by then, else not at all; 0 = any time
+	no      int
+	sent    Time
+	done    bool
+}
+
+// Outcome is how an attempt ended.
+type Outcome struct {
+	Result   decide.Result
+	Role     decide.Role
+	Stamped  bool
+	Position Time
+	Report   decide.Report
+	Body     Payload // Served: the answer
+}
+
+// Listed is an entry of the list of members.
+type Listed struct {
+	decide.Member
+	Addr string
+}
+
+// Members carries out attempts and probes. Its methods are called on the
+// owner's goroutine and must not block.
+type Members interface {
+	// Send starts an attempt; exactly one Core.Done must follow.
+	Send(*Attempt)
+	// Stop gives up an attempt; its outcome is why, unless it never was written or has ended.
+	Stop(a *Attempt, why decide.Result)
+	// Probe asks a member for its report; one Core.Probed must follow.
+	Probe(member string)
+	// List takes a list, or a change of it.
+	List(kind decide.EventKind, members []Listed)
+}
+
+// Directory asks discovery. Its methods must not block.
+type Directory interface {
+	Watch()
+	Fetch()
+}
+
+const deadlineSlack = 5 * time.Millisecond // the module answers before the deadline, the core itself so much after it
+
+// Core owns the module. See Run.
+type Core struct {
+	Clock
+	log       *slog.Logger
+	router    *decide.Router
+	members   Members
+	directory Directory
+
+	mu    sync.Mutex
+	queue []func()
+	wake  chan struct{}
+
+	requests map[uint64]*Request
+	lastID   uint64
+	timers   timers
+	events   []decide.Event
+	actions  []decide.Action
+}
+
+// New returns a core for router. Connect must be called before Run.
+func New(clock Clock, router *decide.Router, log *slog.Logger) *Core {
+	return &Core{Clock: clock, log: log, router: router, wake: make(chan struct{}, 1), requests: map[uint64]*Request{}}
+}
+
+// Connect names the members' side and discovery.
+func (c *Core) Connect(m Members, d Directory) { c.members, c.directory = m, d }
+
+// Post queues f to be run by the owner, in order. It never blocks.
+func (c *Core) Post(f func()) {
+	c.mu.Lock()
+	c.queue = append(c.queue, f)
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Arrive hands over a request. Its client gets exactly one answer, unless Gone is called first.
+func (c *Core) Arrive(q *Request) { c.Post(func() { c.arrive(q) }) }
+
+// Gone tells that the client has left.
+func (c *Core) Gone(q *Request) {
+	c.Post(func() {
+		if !q.ended {
+			c.events = append(c.events, decide.Event{Kind: decide.ClientGone, Request: q.id})
+			c.end(q)
+		}
+	})
+}
+
+// Done ends an attempt.
+func (c *Core) Done(a *Attempt, o Outcome) { c.Post(func() { c.done(a, o) }) }
+
+// Probed ends a probe.
+func (c *Core) Probed(member string, result decide.Result, r decide.Report) {
+	c.Post(func() {
+		c.events = append(c.events, decide.Event{Kind: decide.Probed, Member: member, Result: result, Report: r})
+	})
+}
+
+// List takes what discovery says, kind being one of the list events.
+func (c *Core) List(kind decide.EventKind, members []Listed) {
+	c.Post(func() {
+		e := decide.Event{Kind: kind}
+		for i := range members {
+			e.Members = append(e.Members, members[i].Member)
+		}
+		if kind != decide.ListError {
+			c.members.List(kind, members)
+		}
+		c.events = append(c.events, e)
+	})
+}
+
+// After runs f on the owner's goroutine, which must be the caller's, at t.
+func (c *Core) After(t Time, f func()) { heap.Push(&c.timers, timer{t, f}) }
+
+// Run owns the module until ctx ends.
+func (c *Core) Run(ctx context.Context) {
+	clock := time.NewTimer(0)
+	defer clock.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+		case <-clock.C:
+		}
+		for c.turn() {
+		}
+		if len(c.timers) > 0 {
+			clock.Reset(c.timers[0].at - c.Now())
+		}
+	}
+}
+
+// turn drains the queue and the timers that are due into one batch and steps
+// the module. It reports whether there was anything to do.
+func (c *Core) turn() bool {
+	c.mu.Lock()
+	batch := c.queue
+	c.queue = nil
+	c.mu.Unlock()
+	busy := len(batch) > 0
+	for _, f := range batch {
+		f()
+	}
+	for now := c.Now(); len(c.timers) > 0 && c.timers[0].at <= now; busy = true {
+		heap.Pop(&c.timers).(timer).f()
+	}
+	if len(c.events) > 0 {
+		events := c.events
+		c.events = nil
+		c.actions = c.router.Step(c.Now(), events, c.actions[:0])
+		for i := range c.actions {
+			c.act(&c.actions[i])
+		}
+	}
+	return busy
+}
+
+func (c *Core) arrive(q *Request) {
+	c.lastID++
+	q.id = c.lastID
+	c.requests[q.id] = q
+	now := c.Now()
+	e := decide.Event{Kind: decide.Arrive, Request: q.id, Class: q.Class, Tenant: q.Tenant, Group: q.Group,
+		Session: q.Session, IsRetry: q.Retry, Remaining: q.Until - now}
+	if q.Written > 0 {
+		e.HasToken, e.TokenAge = true, max(now-q.Written, 0)
+	}
+	c.events = append(c.events, e)
+	c.After(q.Until+deadlineSlack, func() {
+		if !q.ended { // guards the rule that each taken request gets an answer in time
+			c.log.Warn("deadline passed unanswered", "request", q.id)
+			c.events = append(c.events, decide.Event{Kind: decide.ClientGone, Request: q.id})
+			c.finish(q, Answer{Verdict: Failed})
+		}
+	})
+}
+
+// finish gives a request its answer, unless it has one.
+func (c *Core) finish(q *Request, a Answer) {
+	if q.ended {
+		if a.Body != nil {
+			a.Body.Release()
+		}
+		return
+	}
+	q.Client.Answer(a)
+	c.end(q)
+}
+
+func (c *Core) end(q *Request) {
+	q.ended = true
+	c.forget(q)
+}
+
+// forget drops a request that has ended and has no attempt out.
+func (c *Core) forget(q *Request) {
+	if q.ended && q.out == 0 && c.requests[q.id] == q {
+		delete(c.requests, q.id)
+		q.Call.Release()
+	}
+}
+
+func (c *Core) done(a *Attempt, o Outcome) {
+	if a.done {
+		c.log.Error("second outcome of an attempt", "member", a.Member)
+		if o.Body != nil {
+			o.Body.Release()
+		}
+		return
+	}
+	q := a.Request
+	a.done = true
+	q.out--
+	e := decide.Event{Kind: decide.Outcome, Request: q.id, Member: a.Member, Attempt: a.no, Result: o.Result,
+		Elapsed: c.Now() - a.sent, Ended: q.ended || o.Result == decide.Served,
+		Role: o.Role, Stamped: o.Stamped, Position: o.Position, Report: o.Report}
+	c.events = append(c.events, e)
+	if o.Result == decide.Served {
+		c.finish(q, Answer{Verdict: Served, Body: o.Body})
+	}
+	c.forget(q)
+}
+
+// act carries out one action of the module.
+func (c *Core) act(a *decide.Action) {
+	q := c.requests[a.Request]
+	switch a.Kind {
+	case decide.Send:
+		c.send(q, a)
+	case decide.Cancel:
+		if q != nil && a.Attempt < len(q.attempts) && !q.attempts[a.Attempt].done {
+			c.members.Stop(q.attempts[a.Attempt], decide.Cancelled)
+		}
+	case decide.Refuse:
+		if q != nil {
+			c.finish(q, Answer{Verdict: Refused, After: a.After})
+		}
+	case decide.Fail:
+		if q != nil {
+			c.finish(q, Answer{Verdict: Failed})
+		}
+	case decide.Probe:
+		c.members.Probe(a.Member)
+	case decide.Wake:
+		c.After(a.At, func() { c.events = append(c.events, decide.Event{Kind: decide.Timer}) })
+	case decide.Watch:
+		c.directory.Watch()
+	case decide.Fetch:
+		c.directory.Fetch()
+	case decide.Log:
+		c.log.Info("decide: " + a.Text)
+	}
+}
+
+func (c *Core) send(q *Request, a *decide.Action) {
+	if q == nil { // the module sends for nothing that has ended; were it to, it would be owed an outcome
+		c.log.Error("send for an ended request", "member", a.Member)
+		c.Post(func() {
+			c.events = append(c.events, decide.Event{Kind: decide.Outcome, Request: a.Request, Member: a.Member,
+				Result: decide.NotSent, Ended: true})
+		})
+		return
+	}
+	now := c.Now()
+	at := &Attempt{Request: q, Member: a.Member, Until: q.Until, Before: a.Before, no: len(q.attempts), sent: now}
+	if a.Timeout != 0 {
+		at.Until = min(at.Until, now+a.Timeout)
+	}
+	q.attempts = append(q.attempts, at)
+	q.out++
+	if q.ended || q.out > 1 { // guards the rule against second copies, whatever the module says
+		c.log.Error("send out of turn", "member", a.Member)
+		c.Done(at, Outcome{Result: decide.NotSent})
+		return
+	}
+	c.members.Send(at)
+	c.After(at.Until, func() {
+		if !at.done {
+			c.members.Stop(at, decide.TimedOut)
+		}
+	})
+}
+
+type timer struct {
+	at Time
+	f  func()
+}
+
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	last := (*t)[len(*t)-1]
+	*t = (*t)[:len(*t)-1]
+	return last
+}
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,194 @@
+// Package discovery asks the list of members over HTTP/1.1: the whole list, or
+// a watch on its changes by one long call after another.
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"time"
+
+	"reachwind/decide"
+	"reachwind/internal/core"
+)
+
+// List is a list of members, or a change of one, in discovery's form.
+type List struct {
+	Generation int64   `json:"generation"`
+	Reset      bool    `json:"reset"` // the whole list
+	Instances  []Entry `json:"instances"`
+}
+
+// Entry is one member in a List.
+type Entry struct {
+	InstanceID  string  `json:"instanceId"`
+	HostPort    string  `json:"hostPort"`
+	Zone        string  `json:"zone"`
+	MachineType string  `json:"machineType"`
+	Cell        int64   `json:"cell"`
+	Lifecycle   string  `json:"lifecycle"`
+	Weight      float64 `json:"weight"`
+	StartedAtMs int64   `json:"startedAtMs"`
+}
+
+var states = map[string]decide.MemberState{
+	"ready": decide.Up, "draining": decide.Draining, "gone": decide.Removed}
+
+// Members translates the entries.
+func (l *List) Members() ([]core.Listed, error) {
+	list := make([]core.Listed, 0, len(l.Instances))
+	for _, e := range l.Instances {
+		state, ok := states[e.Lifecycle]
+		if !ok || e.InstanceID == "" {
+			return nil, fmt.Errorf("list: instance %q: unknown lifecycle %q", e.InstanceID, e.Lifecycle)
+		}
+		list = append(list, core.Listed{Addr: e.HostPort, Member: decide.Member{ID: e.InstanceID, Group: e.Cell,
+			Zone: e.Zone, Kind: e.MachineType, Weight: e.Weight, State: state,
+			Started: core.Time(e.StartedAtMs) * time.Millisecond}})
+	}
+	return list, nil
+}
+
+const (
+	path     = "/v1/endpoints"
+	longWait = 20 * time.Second // of a watch's calls
+	slack    = 2 * time.Second  // for an answer on top of the wait asked for
+	dialWait = 500 * time.Millisecond
+)
+
+// Sink takes what discovery says.
+type Sink func(kind decide.EventKind, members []core.Listed)
+
+// Client asks discovery. Watch and Fetch only leave word for Run.
+type Client struct {
+	addr    string
+	version int64
+	sink    Sink
+	log     *slog.Logger
+	dial    func(ctx context.Context, addr string) (net.Conn, error)
+	watch   chan struct{}
+	fetch   chan struct{}
+
+	conn net.Conn // kept for the next call
+	r    *bufio.Reader
+}
+
+// New returns a client that holds the list of the given version.
+func New(addr string, version int64, sink Sink, dial func(context.Context, string) (net.Conn, error), log *slog.Logger) *Client {
+	return &Client{addr: addr, version: version, sink: sink, dial: dial, log: log,
+		watch: make(chan struct{}, 1), fetch: make(chan struct{}, 1)}
+}
+
+// Watch asks for changes from now on. While a watch is on it does nothing.
+func (c *Client) Watch() { leave(c.watch) }
+
+// Fetch asks for the whole list once. A watch that is on brings all changes by itself.
+func (c *Client) Fetch() { leave(c.fetch) }
+
+func leave(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// Run makes the calls until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	defer c.hangUp()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.fetch:
+			c.call(ctx, path, 0)
+		case <-c.watch:
+			c.follow(ctx)
+		}
+	}
+}
+
+// follow watches until a call fails. The first call does not wait, so that what
+// was missed is told at once; each next one follows the last answer directly,
+// which keeps the watch unbroken.
+func (c *Client) follow(ctx context.Context) {
+	for wait := time.Duration(0); ctx.Err() == nil; wait = longWait {
+		if !c.call(ctx, fmt.Sprintf("%s?index=%d&wait=%d", path, c.version, wait.Milliseconds()), wait) {
+			return
+		}
+		select { // asked for while on: it is on
+		case <-c.watch:
+		default:
+		}
+	}
+}
+
+// call makes one call and passes on its list, or that it failed.
+func (c *Client) call(ctx context.Context, target string, wait time.Duration) bool {
+	list, err := c.get(ctx, target, wait)
+	var members []core.Listed
+	if err == nil {
+		members, err = list.Members()
+	}
+	if err != nil {
+		c.hangUp()
+		if ctx.Err() == nil {
+			c.log.Warn("discovery failed", "call", target, "err", err)
+			c.sink(decide.ListError, nil)
+		}
+		return false
+	}
+	c.version = list.Generation
+	kind := decide.ListChange
+	if list.Reset {
+		kind = decide.ListFull
+	}
+	if len(members) > 0 || list.Reset {
+		c.log.Info("list", "version", list.Generation, "full", list.Reset, "entries", len(members))
+	}
+	c.sink(kind, members)
+	return true
+}
+
+// get makes one call on the connection kept, or on a new one.
+func (c *Client) get(ctx context.Context, target string, wait time.Duration) (*List, error) {
+	if c.conn == nil {
+		ctx, cancel := context.WithTimeout(ctx, dialWait)
+		defer cancel()
+		conn, err := c.dial(ctx, c.addr)
+		if err != nil {
+			return nil, err
+		}
+		c.conn, c.r = conn, bufio.NewReader(conn)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	_ = c.conn.SetDeadline(time.Now().Add(wait + slack))
+	if _, err := c.conn.Write(appendGet(nil, c.addr, target)); err != nil {
+		return nil, err
+	}
+	resp, err := readResponse(c.r)
+	if err != nil {
+		return nil, err
+	}
+	if !resp.keep {
+		c.hangUp()
+	}
+	if resp.status != 200 {
+		return nil, fmt.Errorf("status %d", resp.status)
+	}
+	list := new(List)
+	if err := json.Unmarshal(resp.body, list); err != nil {
+		return nil, fmt.Errorf("list: %w", err)
+	}
+	return list, nil
+}
+
+func (c *Client) hangUp() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn, c.r = nil, nil
+	}
+}
--- /dev/null
+++ b/internal/discovery/http.go
@@ -0,0 +1,135 @@
+package discovery
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+)
+
+const (
+	maxLine    = 8 << 10
+	maxHeaders = 64
+	maxBody    = 8 << 20
+)
+
+var errHTTP = errors.New("malformed HTTP answer")
+
+// response is an HTTP/1.1 answer.
+type response struct {
+	status int
+	keep   bool // the connection may be used again
+	body   []byte
+}
+
+// appendGet appends a request.
+func appendGet(b []byte, host, target string) []byte {
+	return fmt.Appendf(b, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", target, host)
+}
+
+// readResponse reads one answer, its body whole.
+func readResponse(r *bufio.Reader) (*response, error) {
+	line, err := readLine(r)
+	if err != nil {
+		return nil, err
+	}
+	proto, rest, _ := strings.Cut(line, " ")
+	code, _, _ := strings.Cut(rest, " ")
+	status, err := strconv.Atoi(code)
+	if err != nil || !strings.HasPrefix(proto, "HTTP/1.") || status < 100 || status > 999 {
+		return nil, fmt.Errorf("%w: status line %.40q", errHTTP, line)
+	}
+	resp := &response{status: status, keep: proto != "HTTP/1.0"}
+	length, chunked := int64(-1), false
+	for n := 0; ; n++ {
+		if line, err = readLine(r); err != nil {
+			return nil, err
+		}
+		if line == "" {
+			break
+		}
+		name, value, ok := strings.Cut(line, ":")
+		if !ok || n >= maxHeaders {
+			return nil, fmt.Errorf("%w: header %.40q", errHTTP, line)
+		}
+		value = strings.ToLower(strings.TrimSpace(value))
+		switch strings.ToLower(name) {
+		case "content-length":
+			if length, err = strconv.ParseInt(value, 10, 64); err != nil || length < 0 || length > maxBody {
+				return nil, fmt.Errorf("%w: length %.40q", errHTTP, value)
+			}
+		case "transfer-encoding":
+			chunked = value == "chunked"
+		case "connection":
+			resp.keep = resp.keep && value != "close"
+		}
+	}
+	switch {
+	case status == 204 || status == 304 || status < 200:
+	case chunked:
+		resp.body, err = readChunks(r)
+	case length >= 0:
+		resp.body = make([]byte, length)
+		_, err = io.ReadFull(r, resp.body)
+	default:
+		resp.keep = false
+		if resp.body, err = io.ReadAll(io.LimitReader(r, maxBody+1)); err == nil && len(resp.body) > maxBody {
+			err = fmt.Errorf("%w: body too long", errHTTP)
+		}
+	}
+	if status < 200 && err == nil { // an interim answer: the real one follows
+		return readResponse(r)
+	}
+	return resp, err
+}
+
+// readLine reads a line of bounded length, without its end.
+func readLine(r *bufio.Reader) (string, error) {
+	var line []byte
+	for {
+		part, err := r.ReadSlice('\n')
+		line = append(line, part...)
+		if len(line) > maxLine {
+			return "", fmt.Errorf("%w: line too long", errHTTP)
+		}
+		if err == nil {
+			return strings.TrimRight(string(line), "\r\n"), nil
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return "", err
+		}
+	}
+}
+
+func readChunks(r *bufio.Reader) ([]byte, error) {
+	var body []byte
+	for {
+		line, err := readLine(r)
+		if err != nil {
+			return nil, err
+		}
+		size, _, _ := strings.Cut(line, ";")
+		n, err := strconv.ParseUint(strings.TrimSpace(size), 16, 32)
+		if err != nil || len(body)+int(n) > maxBody {
+			return nil, fmt.Errorf("%w: chunk %.40q", errHTTP, line)
+		}
+		if n == 0 {
+			for line != "" { // trailers
+				if line, err = readLine(r); err != nil {
+					return nil, err
+				}
+			}
+			return body, nil
+		}
+		at := len(body)
+		body = append(body, make([]byte, n)...)
+		if _, err := io.ReadFull(r, body[at:]); err != nil {
+			return nil, err
+		}
+		if end, err := readLine(r); err != nil || end != "" {
+			return nil, fmt.Errorf("%w: chunk without end", errHTTP)
+		}
+	}
+}
--- /dev/null
+++ b/internal/pgfront/conn.go
@@ -0,0 +1,377 @@
+package pgfront
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"time"
+
+	"reachwind/internal/core"
+	"reachwind/internal/pgwire"
+	"reachwind/internal/wake"
+)
+
+const readSize = 4 << 10
+
+// message is what others leave a connection: an answer, or word to stop.
+type message struct {
+	request *core.Request
+	answer  core.Answer
+	stop    bool // close once idle
+	expire  bool // the time for the startup is up
+}
+
+// conn is one client connection.
+type conn struct {
+	*wake.Conn[message]
+	s        *Server
+	refuse   bool // too many connections: say so and close
+	started  bool
+	stopping bool
+	skipping bool // an extended query was refused: skip to its Sync
+	answered []message
+	out      []byte // small answers are put together here
+}
+
+var (
+	errGone     = errors.New("client has gone")
+	errEnd      = errors.New("end of connection")
+	errTooSlow  = errors.New("startup took too long")
+	errSevered  = errors.New("stopping")
+	errProtocol = errors.New("protocol violation")
+)
+
+func newConn(s *Server, nc net.Conn) *conn {
+	return &conn{Conn: wake.New[message](nc, readSize), s: s}
+}
+
+// client takes the answer to one request of a connection.
+type client struct {
+	c       *conn
+	request *core.Request
+}
+
+// Answer leaves the answer for the connection's goroutine.
+func (k client) Answer(a core.Answer) {
+	if !k.c.Leave(message{request: k.request, answer: a}) && a.Body != nil {
+		a.Body.Release()
+	}
+}
+
+// serve runs the connection to its end.
+func (c *conn) serve() {
+	err := c.startup()
+	for err == nil {
+		err = c.next()
+	}
+	switch {
+	case errors.Is(err, pgwire.ErrTooLong), errors.Is(err, errProtocol):
+		c.s.log.Info("client broke the protocol", "err", err)
+		c.fatal(pgwire.ProtocolViolation, err.Error(), "")
+	case errors.Is(err, errTooSlow):
+		c.fatal(pgwire.ProtocolViolation, err.Error(), "")
+	}
+	for _, m := range append(c.answered, c.End()...) {
+		if m.answer.Body != nil {
+			m.answer.Body.Release()
+		}
+	}
+}
+
+// woken looks into the mailbox.
+func (c *conn) woken() error {
+	for _, m := range c.Take() {
+		switch {
+		case m.request != nil:
+			c.answered = append(c.answered, m)
+		case m.stop:
+			c.stopping = true
+		case m.expire && !c.started:
+			return errTooSlow
+		}
+	}
+	return nil
+}
+
+// idle is woken, for when nothing of a message has come: a stopping connection ends there.
+func (c *conn) idle() error {
+	if err := c.woken(); err != nil {
+		return err
+	}
+	if c.stopping && c.R.Buffered() == 0 {
+		return errSevered
+	}
+	return nil
+}
+
+// startup reads the startup message and welcomes the client.
+func (c *conn) startup() error {
+	wait := c.s.conf.StartWait
+	if c.refuse {
+		wait = c.s.conf.RefuseWait
+	}
+	expire := time.AfterFunc(wait, func() { c.Leave(message{expire: true}) })
+	defer expire.Stop()
+	for {
+		head, err := c.Peek(4, c.idle)
+		if err != nil {
+			return err
+		}
+		n, err := pgwire.StartupLen(head)
+		if err != nil {
+			return err
+		}
+		body := make([]byte, n)
+		_, _ = c.R.Discard(4)
+		if err := c.Fill(body, c.woken); err != nil {
+			return err
+		}
+		switch version := binary.BigEndian.Uint32(body); {
+		case version == pgwire.SSLRequest, version == pgwire.GSSENCRequest:
+			if err := c.write([]byte{'N'}); err != nil {
+				return err
+			}
+			continue
+		case version == pgwire.CancelRequest: // no keys are given out that it could name
+			return errEnd
+		case version>>16 != 3:
+			return fmt.Errorf("%w: version %d.%d", errProtocol, version>>16, version&0xffff)
+		}
+		break
+	}
+	c.started = true
+	if c.refuse {
+		c.fatal(pgwire.TooManyConnections, "too many connections", c.comeBack())
+		return errEnd
+	}
+	out := pgwire.Append(c.out[:0], 'R', "\x00\x00\x00\x00")
+	for _, p := range [][2]string{{"server_version", "15.0"}, {"server_encoding", "UTF8"}, {"client_encoding", "UTF8"},
+		{"standard_conforming_strings", "on"}, {"DateStyle", "ISO, MDY"}, {"integer_datetimes", "on"}} {
+		out = pgwire.AppendStatus(out, p[0], p[1])
+	}
+	out = pgwire.Append(out, 'K', "\x00\x00\x00\x00\x00\x00\x00\x00")
+	c.out = pgwire.AppendReady(out)
+	return c.write(c.out)
+}
+
+// next reads one message and answers it.
+func (c *conn) next() error {
+	if c.stopping && c.R.Buffered() == 0 {
+		return errSevered
+	}
+	head, err := c.Peek(5, c.idle)
+	if err != nil {
+		return err
+	}
+	typ, n, err := pgwire.Header(head)
+	if err != nil {
+		return err
+	}
+	came := c.s.core.Now()
+	_, _ = c.R.Discard(5)
+	if typ == 'Q' {
+		return c.query(n, came)
+	}
+	if err := c.skip(n); err != nil {
+		return err
+	}
+	switch typ {
+	case 'X':
+		return errEnd
+	case 'S':
+		c.skipping = false
+		return c.write(pgwire.AppendReady(c.out[:0]))
+	case 'H': // flush: all is flushed
+		return nil
+	case 'P', 'B', 'D', 'E', 'C', 'F':
+		if c.skipping {
+			return nil
+		}
+		c.skipping = typ != 'F'
+		c.out = pgwire.AppendError(c.out[:0], "ERROR", pgwire.Unsupported, "only simple queries are served", "")
+		if typ == 'F' {
+			c.out = pgwire.AppendReady(c.out)
+		}
+		return c.write(c.out)
+	}
+	return fmt.Errorf("%w: message type %q", errProtocol, typ)
+}
+
+// skip passes over n bytes.
+func (c *conn) skip(n int) error {
+	for n > 0 {
+		if _, err := c.Peek(1, c.woken); err != nil {
+			return err
+		}
+		m, _ := c.R.Discard(min(n, c.R.Buffered()))
+		n -= m
+	}
+	return nil
+}
+
+// query reads a statement of n bytes that began to come at the time came, and answers it.
+func (c *conn) query(n int, came core.Time) error {
+	if n < 1 {
+		return fmt.Errorf("%w: query without end", errProtocol)
+	}
+	if c.s.bufs.Free() <= c.s.conf.Keep {
+		return c.full(n)
+	}
+	buf := c.s.bufs.Get()
+	if buf == nil {
+		return c.full(n)
+	}
+	buf.B = buf.B[:n]
+	if err := c.Fill(buf.B, c.woken); err != nil {
+		buf.Release()
+		return err
+	}
+	if buf.B[n-1] != 0 {
+		buf.Release()
+		return fmt.Errorf("%w: query without end", errProtocol)
+	}
+	buf.B = buf.B[:n-1]
+	if out, ok := local(c.out[:0], buf.B); ok {
+		buf.Release()
+		c.out = pgwire.AppendReady(out)
+		return c.write(c.out)
+	}
+	q, err := c.request(buf, came)
+	if err != nil {
+		buf.Release()
+		c.out = pgwire.AppendError(c.out[:0], "ERROR", pgwire.SyntaxError, err.Error(), "")
+		c.out = pgwire.AppendReady(c.out)
+		return c.write(c.out)
+	}
+	q.Client = client{c, q}
+	c.s.core.Arrive(q)
+	m, err := c.await(q)
+	if err != nil {
+		c.s.core.Gone(q)
+		return err
+	}
+	return c.answer(m.answer)
+}
+
+// full refuses a query that there is no buffer for.
+func (c *conn) full(n int) error {
+	if err := c.skip(n); err != nil {
+		return err
+	}
+	c.s.log.Warn("request refused: out of buffers")
+	c.out = pgwire.AppendError(c.out[:0], "ERROR", pgwire.TooManyConnections, "too many requests", c.comeBack())
+	return c.write(pgwire.AppendReady(c.out))
+}
+
+// local answers what needs no member: empty queries, and settings of the session, which have no effect.
+func local(out, text []byte) ([]byte, bool) {
+	if pgwire.Empty(text) {
+		return pgwire.Append(out, 'I'), true
+	}
+	switch verb := pgwire.Verb(text); verb {
+	case "SET", "RESET", "DISCARD":
+		return pgwire.Append(out, 'C', verb, "\x00"), true
+	}
+	return out, false
+}
+
+// request makes a request of the statement in buf.
+func (c *conn) request(buf *pgwire.Buf, came core.Time) (*core.Request, error) {
+	st, err := pgwire.Parse(buf)
+	if err != nil {
+		return nil, err
+	}
+	class, ok := c.s.classes[st.Class]
+	if !ok {
+		return nil, fmt.Errorf("unknown class %.40q", st.Class)
+	}
+	k := &c.s.conf.Classes[class]
+	if st.Read == k.Writes() {
+		return nil, fmt.Errorf("class %q takes no such statement", st.Class)
+	}
+	tenant, ok := c.s.tenants[st.Tenant]
+	if !ok {
+		tenant = -1
+	}
+	q := &core.Request{Class: class, Tenant: tenant, Group: st.Cluster, Retry: st.Retry,
+		Written: core.Time(st.After) * time.Millisecond, Call: st,
+		Until: came + core.Time(min(st.Wait, maxWait))*time.Millisecond}
+	if k.HasSession() {
+		q.Session = st.Key
+	}
+	return q, nil
+}
+
+const maxWait = 60_000 // ms; no client waits longer
+
+// await waits for the answer to q. Commands that follow may come meanwhile and
+// stay in the reader; the read also sees the client leave.
+func (c *conn) await(q *core.Request) (message, error) {
+	for {
+		for i, m := range c.answered {
+			if m.request == q {
+				c.answered = append(c.answered[:i], c.answered[i+1:]...)
+				return m, nil
+			}
+		}
+		n := c.R.Buffered()
+		if n == c.R.Size() { // a client far ahead: the answer's write will tell whether it is still there
+			c.Wait()
+		} else if _, err := c.R.Peek(n + 1); err != nil && !errors.Is(err, wake.ErrWoken) {
+			return message{}, errGone
+		}
+		if err := c.woken(); err != nil {
+			return message{}, err
+		}
+	}
+}
+
+// answer writes a final answer.
+func (c *conn) answer(a core.Answer) error {
+	switch a.Verdict {
+	case core.Served:
+		body := a.Body.(*pgwire.Buf)
+		defer body.Release()
+		body.B = pgwire.AppendReady(body.B)
+		return c.write(body.B)
+	case core.Refused:
+		detail := ""
+		if a.After > 0 {
+			detail = strconv.FormatInt(a.After.Milliseconds(), 10)
+		}
+		c.out = pgwire.AppendError(c.out[:0], "ERROR", pgwire.TooManyConnections, "refused, try again later", detail)
+	case core.Failed:
+		c.out = pgwire.AppendError(c.out[:0], "ERROR", pgwire.SystemError, "failed, it may or may not have run", "")
+	}
+	c.out = pgwire.AppendReady(c.out)
+	return c.write(c.out)
+}
+
+func (c *conn) comeBack() string {
+	if c.s.conf.ComeBack <= 0 {
+		return ""
+	}
+	return strconv.FormatInt(c.s.conf.ComeBack.Milliseconds(), 10)
+}
+
+func (c *conn) write(b []byte) error {
+	_ = c.SetWriteDeadline(time.Now().Add(c.s.conf.WriteWait))
+	_, err := c.Write(b)
+	return err
+}
+
+// fatal says why the connection ends, and reads on a little so that the word
+// is not lost to a reset for what the client has sent meanwhile.
+func (c *conn) fatal(code, text, detail string) {
+	if c.write(pgwire.AppendError(c.out[:0], "FATAL", code, text, detail)) != nil {
+		return
+	}
+	if t, ok := c.Conn.Conn.(interface{ CloseWrite() error }); ok {
+		_ = t.CloseWrite()
+		_ = c.SetReadDeadline(time.Now().Add(c.s.conf.RefuseWait))
+		_, _ = io.CopyN(io.Discard, c.Conn.Conn, 1<<20)
+	}
+}
--- /dev/null
+++ b/internal/pgmember/conn.go
@@ -0,0 +1,326 @@
+package pgmember
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"reachwind/decide"
+	"reachwind/internal/core"
+	"reachwind/internal/pgwire"
+	"reachwind/internal/settings"
+	"reachwind/internal/wake"
+)
+
+// Dialer opens a connection.
+type Dialer func(ctx context.Context, addr string) (net.Conn, error)
+
+// Dial is the Dialer for TCP.
+func Dial(ctx context.Context, addr string) (net.Conn, error) {
+	return new(net.Dialer).DialContext(ctx, "tcp", addr)
+}
+
+const readSize = 4 << 10
+
+// order is a message to a connection: run job, stop it, or with no job close.
+type order struct {
+	job  *job
+	stop bool
+	why  decide.Result
+}
+
+// conn is one connection. Its goroutine runs serve; the pool's fields are m and since.
+type conn struct {
+	*wake.Conn[order]
+	p      *Pool
+	m      *member
+	addr   string
+	since  core.Time // idle since
+	sendBy atomic.Int64
+	hello  []byte
+}
+
+var (
+	errStopped = errors.New("stopped")
+	errClosed  = errors.New("closed")
+)
+
+func newConn(p *Pool, m *member) *conn { return &conn{p: p, m: m, addr: m.addr} }
+
+// start connects in the background.
+func (c *conn) start() {
+	go func() {
+		result, err := c.connect()
+		if err != nil {
+			if c.Conn != nil {
+				c.End()
+			}
+			c.p.core.Post(func() { c.p.failed(c, result, err) })
+			return
+		}
+		c.p.core.Post(func() {
+			c.m.making--
+			c.p.ready(c)
+		})
+		left := c.serve()
+		c.p.core.Post(func() { c.p.ended(c, left) })
+	}()
+}
+
+// close asks the goroutine to end.
+func (c *conn) close() { c.Leave(order{}) }
+
+// limit sets until when the goroutine may begin to write, 0 = always.
+func (c *conn) limit(t core.Time) { c.sendBy.Store(int64(t)) }
+
+// connect dials and passes the startup, all within the time for connecting.
+func (c *conn) connect() (decide.Result, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.p.conf.Connect)
+	defer cancel()
+	nc, err := c.p.dial(ctx, c.addr)
+	if err != nil {
+		return decide.Unreachable, err
+	}
+	c.Conn = wake.New[order](nc, readSize)
+	until, _ := ctx.Deadline()
+	_ = nc.SetDeadline(until)
+	if _, err := nc.Write(pgwire.AppendStartup(nil, c.p.conf.User, c.p.conf.Database)); err != nil {
+		return decide.Unreachable, err
+	}
+	var a answer
+	if err := c.read(&a, func() error { return context.DeadlineExceeded }); err != nil && a.code == "" {
+		return decide.Unreachable, err
+	}
+	if a.code != "" {
+		return outcomeOf(&a), errors.New("turned away: " + a.code)
+	}
+	return 0, nc.SetDeadline(time.Time{})
+}
+
+// serve carries out orders until the connection ends, and returns those it did not begin.
+func (c *conn) serve() []order {
+	var job *job
+	for {
+		// At a message boundary. The read also sees the member close.
+		orders := c.Take()
+		for i, o := range orders {
+			switch {
+			case o.job == nil:
+				if job != nil {
+					orders = append(orders, order{job: job})
+				}
+				return append(c.End(), orders[i:]...)
+			case !o.stop:
+				job = o.job
+			case o.job == job: // stopped before its first byte
+				c.done(job, core.Outcome{Result: decide.NotSent})
+				job = nil
+			}
+		}
+		if job != nil {
+			j := job
+			job = nil
+			if !c.run(j) {
+				return c.End()
+			}
+			continue
+		}
+		if _, err := c.R.Peek(1); !errors.Is(err, wake.ErrWoken) {
+			return c.End() // closed, or a word out of turn, which no member means well
+		}
+	}
+}
+
+// done reports a job and that the connection is free.
+func (c *conn) done(j *job, o core.Outcome) {
+	c.p.core.Post(func() {
+		c.p.finish(j, o)
+		c.p.ready(c)
+	})
+}
+
+// run carries out one job and tells whether the connection may be used again.
+func (c *conn) run(j *job) bool {
+	buf := c.p.bufs.Get()
+	if buf == nil || !c.may(j) {
+		if buf != nil {
+			buf.Release()
+		}
+		c.done(j, core.Outcome{Result: decide.NotSent})
+		return true
+	}
+	a := answer{buf: buf}
+	o := c.exchange(j, &a)
+	if o.Result == decide.Served && j.attempt != nil {
+		o.Body = buf
+	} else {
+		buf.Release()
+	}
+	if a.ready {
+		c.done(j, o)
+		return true
+	}
+	// The connection is closed before the outcome is told: the next attempt of
+	// this request may follow at once, and two must never be out.
+	_ = c.Conn.Conn.Close()
+	c.p.core.Post(func() { c.p.finish(j, o) })
+	return false
+}
+
+// may tells whether a job may still be written: the decision may be old by now.
+func (c *conn) may(j *job) bool {
+	now := c.p.core.Now()
+	if by := core.Time(c.sendBy.Load()); by != 0 && now > by {
+		return false
+	}
+	if a := j.attempt; a != nil {
+		return now < a.Until && (a.Before == 0 || now < a.Before-boundMargin)
+	}
+	return true
+}
+
+// exchange writes a job's statement and reads the whole answer.
+func (c *conn) exchange(j *job, a *answer) (o core.Outcome) {
+	query, until := pgwire.Append(a.buf.B, 'Q', "SHOW health\x00"), c.p.core.Now()+c.p.conf.Connect
+	if j.attempt != nil {
+		until = j.attempt.Until
+		wait := max((until - c.p.core.Now()).Milliseconds(), 1)
+		query = j.attempt.Request.Call.(*pgwire.Statement).AppendQuery(a.buf.B, wait)
+	}
+	_ = c.SetWriteDeadline(c.p.core.At(until))
+	if _, err := c.Write(query); err != nil {
+		return core.Outcome{Result: decide.Unreachable}
+	}
+	why := decide.Reset
+	err := c.read(a, func() error {
+		for _, o := range c.Take() {
+			if o.job == nil {
+				return errClosed
+			}
+			if o.job == j && o.stop {
+				why = o.why
+				return errStopped
+			}
+		}
+		return nil
+	})
+	switch {
+	case a.code != "" || a.complete:
+		o.Result = outcomeOf(a)
+	case err == nil:
+		o.Result = decide.Errored // an answer without row or error
+	default:
+		o.Result = why
+	}
+	o.Role, o.Stamped, o.Position, o.Report = a.role, a.stamped, a.position, a.report
+	if j.attempt == nil && o.Result == decide.Served {
+		c.report(&o.Report, a.row)
+	}
+	return o
+}
+
+// report reads the figures that the settings name.
+func (c *conn) report(r *decide.Report, text []byte) {
+	pgwire.Pairs(text, func(name string, v float64) {
+		for _, n := range c.p.conf.Names {
+			if n == name {
+				settings.Report(r, 0, name, v)
+			}
+		}
+	})
+}
+
+// outcomeOf maps an answer as the protocol's table does.
+func outcomeOf(a *answer) decide.Result {
+	switch a.code {
+	case "":
+		return decide.Served
+	case pgwire.ReadOnly, pgwire.TooFarBehind:
+		return decide.NotHere
+	case pgwire.TooManyConnections, pgwire.CannotConnectNow:
+		return decide.Full
+	}
+	return decide.Errored
+}
+
+// answer is what came back so far.
+type answer struct {
+	buf      *pgwire.Buf // takes RowDescription, DataRow and CommandComplete as they are; nil to skip them
+	row      []byte      // the first column of the last DataRow, within buf
+	complete bool        // CommandComplete came
+	code     string      // of an ErrorResponse
+	ready    bool        // ReadyForQuery came
+	role     decide.Role
+	stamped  bool
+	position core.Time
+	report   decide.Report
+}
+
+// read reads messages through ReadyForQuery.
+func (c *conn) read(a *answer, woken func() error) error {
+	var small [1 << 10]byte
+	for {
+		head, err := c.Peek(5, woken)
+		if err != nil {
+			return err
+		}
+		typ, n, err := pgwire.Header(head)
+		if err != nil {
+			return err
+		}
+		body := small[:]
+		keep := a.buf != nil && (typ == 'T' || typ == 'D' || typ == 'C')
+		if keep {
+			if len(a.buf.B)+5+n > cap(a.buf.B) {
+				return pgwire.ErrTooLong
+			}
+			at := len(a.buf.B)
+			a.buf.B = append(a.buf.B, head...)[:at+5+n]
+			body = a.buf.B[at+5:]
+		} else if n > len(body) {
+			body = make([]byte, n) // rare: a long error or parameter
+		} else {
+			body = body[:n]
+		}
+		_, _ = c.R.Discard(5)
+		if err := c.Fill(body, woken); err != nil {
+			return err
+		}
+		switch typ {
+		case 'D':
+			a.row = pgwire.Column(body)
+		case 'C':
+			a.complete = true
+		case 'E':
+			a.code = pgwire.ErrorField(body, 'C')
+			if a.code == "" {
+				a.code = pgwire.SystemError
+			}
+		case 'S':
+			c.status(a, body)
+		case 'Z':
+			a.ready = true
+			return nil
+		}
+	}
+}
+
+// status takes a ParameterStatus.
+func (c *conn) status(a *answer, body []byte) {
+	switch name, value := pgwire.Status(body); name {
+	case "recovery":
+		a.role = decide.Replica
+		if value == "off" {
+			a.role = decide.Primary
+		}
+	case "lsn_ms":
+		if ms, err := strconv.ParseInt(value, 10, 64); err == nil && ms > 0 && ms < 1<<43 {
+			a.stamped, a.position = true, core.Time(ms)*time.Millisecond
+		}
+	case "health":
+		c.report(&a.report, []byte(value))
+	}
+}
--- /dev/null
+++ b/internal/pgwire/pgwire.go
@@ -0,0 +1,280 @@
+// Package pgwire knows version 3 of PostgreSQL's wire protocol as far as a
+// gateway for simple queries needs it: framing, the codes of errors, and the
+// comment that heads each statement. It has no sockets.
+package pgwire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"strconv"
+)
+
+// Requests that stand in place of a startup message's version.
+const (
+	Version3      = 3 << 16
+	CancelRequest = 80877102
+	SSLRequest    = 80877103
+	GSSENCRequest = 80877104
+)
+
+// Error codes (SQLSTATE).
+const (
+	TooManyConnections = "53300"
+	CannotConnectNow   = "57P03"
+	ReadOnly           = "25006" // a write at a member that is no primary
+	TooFarBehind       = "72000" // a read at a member that lags too far
+	ProtocolViolation  = "08P01"
+	Unsupported        = "0A000"
+	SyntaxError        = "42601"
+	SystemError        = "58000"
+)
+
+// The largest messages taken.
+const (
+	MaxStartup = 8 << 10
+	MaxMessage = BufSize - 64 // room for a frame around the statement
+)
+
+// ErrTooLong says that a message announces an impossible length.
+var ErrTooLong = errors.New("message of impossible length")
+
+// Header splits the five bytes before a message's body into type and body length.
+func Header(h []byte) (typ byte, n int, err error) {
+	l := binary.BigEndian.Uint32(h[1:5])
+	if l < 4 || l > MaxMessage {
+		return h[0], 0, fmt.Errorf("%w: type %q, %d bytes", ErrTooLong, h[0], l)
+	}
+	return h[0], int(l) - 4, nil
+}
+
+// StartupLen reads the length of a startup message's rest from its first four bytes.
+func StartupLen(h []byte) (int, error) {
+	l := binary.BigEndian.Uint32(h)
+	if l < 8 || l > MaxStartup {
+		return 0, fmt.Errorf("%w: startup, %d bytes", ErrTooLong, l)
+	}
+	return int(l) - 4, nil
+}
+
+// Append appends a message.
+func Append(b []byte, typ byte, parts ...string) []byte {
+	n := 4
+	for _, p := range parts {
+		n += len(p)
+	}
+	b = binary.BigEndian.AppendUint32(append(b, typ), uint32(n))
+	for _, p := range parts {
+		b = append(b, p...)
+	}
+	return b
+}
+
+// AppendStartup appends a startup message.
+func AppendStartup(b []byte, user, database string) []byte {
+	body := "user\x00" + user + "\x00database\x00" + database + "\x00\x00"
+	b = binary.BigEndian.AppendUint32(b, uint32(8+len(body)))
+	b = binary.BigEndian.AppendUint32(b, Version3)
+	return append(b, body...)
+}
+
+// AppendStatus appends a ParameterStatus.
+func AppendStatus(b []byte, name, value string) []byte {
+	return Append(b, 'S', name, "\x00", value, "\x00")
+}
+
+// AppendReady appends ReadyForQuery, outside a transaction.
+func AppendReady(b []byte) []byte { return Append(b, 'Z', "I") }
+
+// AppendError appends an ErrorResponse; an empty detail is left out.
+func AppendError(b []byte, severity, code, text, detail string) []byte {
+	body := "S" + severity + "\x00V" + severity + "\x00C" + code + "\x00M" + text + "\x00"
+	if detail != "" {
+		body += "D" + detail + "\x00"
+	}
+	return Append(b, 'E', body, "\x00")
+}
+
+// ErrorField returns a field of an ErrorResponse's body, empty if absent.
+func ErrorField(body []byte, field byte) string {
+	for len(body) > 0 && body[0] != 0 {
+		value, rest, ok := bytes.Cut(body[1:], []byte{0})
+		if !ok {
+			return ""
+		}
+		if body[0] == field {
+			return string(value)
+		}
+		body = rest
+	}
+	return ""
+}
+
+// Status splits a ParameterStatus's body.
+func Status(body []byte) (name, value string) {
+	n, rest, _ := bytes.Cut(body, []byte{0})
+	v, _, _ := bytes.Cut(rest, []byte{0})
+	return string(n), string(v)
+}
+
+// Column returns the first column of a DataRow's body, nil if there is none or it is null.
+func Column(body []byte) []byte {
+	if len(body) < 6 || binary.BigEndian.Uint16(body) == 0 {
+		return nil
+	}
+	n := int64(int32(binary.BigEndian.Uint32(body[2:])))
+	if n < 0 || n > int64(len(body)-6) {
+		return nil
+	}
+	return body[6 : 6+n]
+}
+
+// Pairs calls each for every name=value of a load report.
+func Pairs(s []byte, each func(name string, v float64)) {
+	for more := true; more; {
+		var pair []byte
+		pair, s, more = bytes.Cut(s, []byte{','})
+		name, text, _ := bytes.Cut(bytes.TrimSpace(pair), []byte{'='})
+		if v, err := strconv.ParseFloat(string(text), 64); err == nil && v == v && v < 1e18 && v > -1e18 {
+			each(string(name), v)
+		}
+	}
+}
+
+// Statement is a client's statement with what its comment says.
+type Statement struct {
+	Buf     *Buf   // the text, without its final zero
+	Class   string // c
+	Tenant  string // t
+	Wait    int64  // d, in milliseconds
+	Cluster int64
+	After   int64 // Unix time in ms of the session's last write, 0 = none
+	Retry   bool
+	Key     string // the quoted key
+	Read    bool   // a SELECT
+
+	dFrom, dTo int // where the digits of d stand in the text
+}
+
+// Release gives the text's buffer back.
+func (s *Statement) Release() { s.Buf.Release() }
+
+// Empty tells that a query's text holds no statement.
+func Empty(text []byte) bool {
+	return len(bytes.Trim(text, " \t\r\n;")) == 0
+}
+
+// Verb returns the first word of a statement in capitals, at most 16 letters of it.
+func Verb(text []byte) string {
+	text = bytes.TrimLeft(text, " \t\r\n")
+	n := 0
+	for n < len(text) && n < 16 && (text[n]|0x20) >= 'a' && (text[n]|0x20) <= 'z' {
+		n++
+	}
+	return string(bytes.ToUpper(text[:n]))
+}
+
+// Parse reads the comment and the key of the text in buf.
+func Parse(buf *Buf) (*Statement, error) {
+	text := buf.B
+	from := bytes.IndexByte(text, '/')
+	if from < 0 || len(bytes.TrimSpace(text[:from])) > 0 || !bytes.HasPrefix(text[from:], []byte("/*")) {
+		return nil, errors.New("no comment before the statement")
+	}
+	from += 2
+	end := bytes.Index(text[from:], []byte("*/"))
+	if end < 0 {
+		return nil, errors.New("comment without end")
+	}
+	end += from
+	s := &Statement{Buf: buf}
+	for at := from; at < end; {
+		to := end
+		if i := bytes.IndexByte(text[at:end], ','); i >= 0 {
+			to = at + i
+		}
+		if err := s.field(text, at, to); err != nil {
+			return nil, err
+		}
+		at = to + 1
+	}
+	switch {
+	case s.Class == "":
+		return nil, errors.New("comment without c")
+	case s.dTo == 0:
+		return nil, errors.New("comment without d")
+	}
+	rest := text[end+2:]
+	switch Verb(rest) {
+	case "SELECT":
+		s.Read = true
+	case "INSERT":
+	default:
+		return nil, errors.New("neither SELECT nor INSERT")
+	}
+	s.Key = quoted(rest)
+	return s, nil
+}
+
+// field takes the name=value at text[from:to].
+func (s *Statement) field(text []byte, from, to int) (err error) {
+	name, value, ok := bytes.Cut(text[from:to], []byte{'='})
+	if !ok {
+		return nil
+	}
+	number := func() (n int64) {
+		n, err = strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		if err != nil || n < 0 || n > 1<<50 {
+			err = fmt.Errorf("comment: %s is no number", bytes.TrimSpace(name))
+		}
+		return n
+	}
+	switch v := string(bytes.TrimSpace(value)); string(bytes.TrimSpace(name)) {
+	case "c":
+		s.Class = v
+	case "t":
+		s.Tenant = v
+	case "r":
+		s.Retry = v == "1"
+	case "cluster":
+		s.Cluster = number()
+	case "after":
+		s.After = number()
+	case "d":
+		s.Wait = number()
+		s.dFrom, s.dTo = to-len(value), to
+	}
+	return err
+}
+
+// quoted returns the first quoted string of a statement, its doubled quotes undone.
+func quoted(text []byte) string {
+	at := bytes.IndexByte(text, '\'')
+	if at < 0 {
+		return ""
+	}
+	var key []byte
+	for i := at + 1; i < len(text); i++ {
+		if text[i] == '\'' {
+			if i+1 >= len(text) || text[i+1] != '\'' {
+				return string(key)
+			}
+			i++
+		}
+		key = append(key, text[i])
+	}
+	return ""
+}
+
+// AppendQuery appends the statement as a Query that says how many milliseconds its sender will wait.
+func (s *Statement) AppendQuery(b []byte, wait int64) []byte {
+	text := s.Buf.B
+	digits := strconv.AppendInt(make([]byte, 0, 20), wait, 10)
+	n := 4 + s.dFrom + len(digits) + len(text) - s.dTo + 1
+	b = binary.BigEndian.AppendUint32(append(b, 'Q'), uint32(n))
+	b = append(b, text[:s.dFrom]...)
+	b = append(b, digits...)
+	b = append(b, text[s.dTo:]...)
+	return append(b, 0)
+}
--- /dev/null
+++ b/internal/wake/wake.go
@@ -0,0 +1,128 @@
+// Package wake lets a connection's goroutine sit in a read and still be told
+// things. Others leave it a message and wake it by a read deadline in the
+// past; only the goroutine itself resets the deadline, and it looks into its
+// mailbox afterwards, so no message is missed. Meanwhile the read also sees
+// the peer leave.
+package wake
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// ErrWoken is returned by a read that was woken: look into the mailbox and read on.
+var ErrWoken = errors.New("woken")
+
+var past = time.Unix(1, 0)
+
+// Conn is a connection with a mailbox of messages M.
+type Conn[M any] struct {
+	net.Conn
+	R *bufio.Reader
+
+	mu     sync.Mutex
+	mail   sync.Cond // signalled with each message
+	box    []M
+	closed bool
+}
+
+// New wraps c with a reader of the given size.
+func New[M any](c net.Conn, size int) *Conn[M] {
+	w := &Conn[M]{Conn: c}
+	w.mail.L = &w.mu
+	w.R = bufio.NewReaderSize(w, size)
+	return w
+}
+
+// Read reads from the connection; R does so for the goroutine that owns it.
+func (w *Conn[M]) Read(p []byte) (int, error) {
+	n, err := w.Conn.Read(p)
+	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		// The order matters: a message left after the reset wakes the next read.
+		if err := w.Conn.SetReadDeadline(time.Time{}); err != nil {
+			return n, err
+		}
+		return n, ErrWoken
+	}
+	return n, err
+}
+
+// Leave puts m in the mailbox and wakes the goroutine. It never blocks. It
+// reports false, and keeps nothing, if the mailbox is closed.
+func (w *Conn[M]) Leave(m M) bool {
+	w.mu.Lock()
+	if w.closed {
+		w.mu.Unlock()
+		return false
+	}
+	w.box = append(w.box, m)
+	w.mail.Signal()
+	w.mu.Unlock()
+	_ = w.Conn.SetReadDeadline(past) // a broken connection shows in the read
+	return true
+}
+
+// Wait returns when the mailbox holds a message, without reading.
+func (w *Conn[M]) Wait() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for len(w.box) == 0 {
+		w.mail.Wait()
+	}
+}
+
+// Take empties the mailbox.
+func (w *Conn[M]) Take() []M {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	box := w.box
+	w.box = nil
+	return box
+}
+
+// End closes the connection and the mailbox and returns what was left in it.
+func (w *Conn[M]) End() []M {
+	w.mu.Lock()
+	w.closed = true
+	box := w.box
+	w.box = nil
+	w.mu.Unlock()
+	_ = w.Conn.Close()
+	return box
+}
+
+// Fill reads len(p) bytes. When woken it calls woken, and ends with its error if it has one.
+func (w *Conn[M]) Fill(p []byte, woken func() error) error {
+	for len(p) > 0 {
+		n, err := io.ReadFull(w.R, p)
+		p = p[n:]
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, ErrWoken) {
+			return err
+		}
+		if err := woken(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Peek is R.Peek that calls woken when woken.
+func (w *Conn[M]) Peek(n int, woken func() error) ([]byte, error) {
+	for {
+		b, err := w.R.Peek(n)
+		if !errors.Is(err, ErrWoken) {
+			return b, err
+		}
+		if err := woken(); err != nil {
+			return nil, err
+		}
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -3,7 +3,6 @@
 package wire
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"strconv"
@@ -152,54 +151,3 @@
 		each(key, v)
 	}
 }
-
-// Facts are the settings that an instance is given at start.
-type Facts struct {
-	Allowed struct {
-		MaxRetryAfterUs                                    int64
-		MayCancel, MayDuplicate, Peers, Probes, RetryAfter bool
-		TryLimit                                           int
-	}
-	ClientHabits   struct{ MarksRetry bool }
-	Discovery      string
-	FailureDomains []string
-	FamilyInfo     struct {
-		AnswersStamped bool
-		ClassBoundUs   []int64
-		Consistency    []string
-		CountedFromUs  int64
-		ServerChecks   string
-		SessionMarks   string
-	}
-	Grades []struct {
-		Name, Effect, KeyScope      string
-		AimUs, DeadlineUs, WindowUs int64
-		Value, LateValue            float64
-	}
-	Instances, Me  int
-	OverShareWorth float64
-	ResolutionUs   int64
-	Rules          struct {
-		ColdShare, FallMultiple float64
-		ColdUs, OverloadForUs   int64
-		DrainBindsAlone         bool
-	}
-	Tenants []struct {
-		Name               string
-		Fraction, QuotaRps float64
-	}
-	Zone string
-}
-
-// ParseFacts reads the settings and skips keys it does not know.
-func ParseFacts(text string) (*Facts, error) {
-	f := new(Facts)
-	if err := json.Unmarshal([]byte(text), f); err != nil {
-		return nil, fmt.Errorf("Facts: %w", err)
-	}
-	if n := len(f.Grades); n == 0 || len(f.FamilyInfo.Consistency) != n || len(f.FamilyInfo.ClassBoundUs) != n {
-		return nil, fmt.Errorf("Facts: %d Grades, %d Consistency and %d ClassBoundUs do not match",
-			n, len(f.FamilyInfo.Consistency), len(f.FamilyInfo.ClassBoundUs))
-	}
-	return f, nil
-}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -50,15 +50,3 @@
 		}
 	}
 }
-
-func TestParseFacts(t *testing.T) {
-	good := `{"Grades":[{"Name":"a"}],"FamilyInfo":{"Consistency":["any"],"ClassBoundUs":[0]},"Unknown":{"x":[1]}}`
-	if _, err := ParseFacts(good); err != nil {
-		t.Error(err)
-	}
-	for _, bad := range []string{"", "{", `{"Grades":[]}`, `{"Grades":[{"Name":"a"}],"FamilyInfo":{"Consistency":[]}}`} {
-		if _, err := ParseFacts(bad); err == nil {
-			t.Errorf("%q: no error", bad)
-		}
-	}
-}
