--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -131,7 +131,7 @@
 type Core struct {
 	Clock
 	log       *slog.Logger
-	router    *decide.Router
+	router    Decider
 	members   Members
 	directory Directory
 
@@ -146,8 +146,13 @@
 	actions  []decide.Action
 }
 
+// Decider is the decision module: what happened goes in, what must be done comes out.
+type Decider interface {
+	Step(now Time, events []decide.Event, out []decide.Action) []decide.Action
+}
+
 // New returns a core for router. Connect must be called before Run.
-func New(clock Clock, router *decide.Router, log *slog.Logger) *Core {
+func New(clock Clock, router Decider, log *slog.Logger) *Core {
 	return &Core{Clock: clock, log: log, router: router, wake: make(chan struct{}, 1), requests: map[uint64]*Request{}}
 }
 
--- /dev/null
+++ b/internal/pgfront/conn_test.go
@@ -0,0 +1,317 @@
+package pgfront
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"reachwind/decide"
+	"reachwind/internal/core"
+	"reachwind/internal/pgwire"
+)
+
+const buffers = 6
+
+// fakeCore holds requests until the test answers them.
+type fakeCore struct {
+	open    []*core.Request
+	arrived int
+	gone    int
+}
+
+func (f *fakeCore) Now() core.Time { return core.Time(time.Now().UnixNano()) }
+func (f *fakeCore) Arrive(q *core.Request) {
+	f.open = append(f.open, q)
+	f.arrived++
+}
+func (f *fakeCore) Gone(q *core.Request) {
+	f.gone++
+	if i := slices.Index(f.open, q); i >= 0 {
+		f.open = slices.Delete(f.open, i, i+1)
+		q.Call.Release()
+	}
+}
+
+// peer is the client's end of a connection in a test.
+type peer struct {
+	net.Conn
+	write chan []byte
+	got   bytes.Buffer
+	ended bool
+}
+
+func newPeer(nc net.Conn) *peer {
+	p := &peer{Conn: nc, write: make(chan []byte, 1000)}
+	go func() {
+		for b := range p.write {
+			_, _ = nc.Write(b)
+		}
+	}()
+	go func() {
+		_, _ = io.Copy(&p.got, nc)
+		p.ended = true
+	}()
+	return p
+}
+
+// replies returns what came since, one letter a message, errors as their code and detail.
+func (p *peer) replies(t *testing.T) (list []string) {
+	for b := p.got.Bytes(); len(b) > 0; b = p.got.Bytes() {
+		if len(b) < 5 || len(b) < 1+int(binary.BigEndian.Uint32(b[1:])) {
+			t.Fatalf("message cut short: %q", b)
+		}
+		m := p.got.Next(1 + int(binary.BigEndian.Uint32(b[1:])))
+		if m[0] == 'E' {
+			list = append(list, "E"+pgwire.ErrorField(m[5:], 'C')+pgwire.ErrorField(m[5:], 'D'))
+		} else {
+			list = append(list, string(m[0]))
+		}
+	}
+	return list
+}
+
+func newServer(f *fakeCore, most int) (*Server, *pgwire.Pool) {
+	bufs := pgwire.NewPool(buffers)
+	return New(f, Config{
+		Classes: []decide.Class{{Name: "r"}, {Name: "w", Consistency: decide.Write}},
+		Tenants: []decide.Tenant{{Name: "t"}}, Max: most, ComeBack: 500 * time.Millisecond, Keep: 1,
+		StartWait: time.Second, WriteWait: time.Second, RefuseWait: time.Second}, bufs, slog.New(slog.DiscardHandler)), bufs
+}
+
+func query(text string) []byte { return pgwire.Append(nil, 'Q', text, "\x00") }
+
+const read = "/* id=1,c=r,t=t,d=400,cluster=2 */ SELECT doc FROM items WHERE id = 'k'"
+
+// TestLimit: at its limit of connections the gateway says so, and says when to come back.
+func TestLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := newServer(&fakeCore{}, 0)
+		a, b := net.Pipe()
+		s.Handle(b)
+		p := newPeer(a)
+		p.write <- append(pgwire.AppendStartup(nil, "app", "shop"), query(read)...)
+		synctest.Wait()
+		if got := p.replies(t); !slices.Equal(got, []string{"E53300500"}) || !p.ended {
+			t.Errorf("replies %q, ended %v", got, p.ended)
+		}
+		close(p.write)
+		_ = a.Close()
+		synctest.Wait()
+	})
+}
+
+// TestStartup: what comes in place of a startup message is answered plainly or closed, in time.
+func TestStartup(t *testing.T) {
+	ssl := binary.BigEndian.AppendUint32([]byte{0, 0, 0, 8}, pgwire.SSLRequest)
+	for name, tc := range map[string]struct {
+		in, out string
+	}{
+		"ssl first": {string(ssl) + string(pgwire.AppendStartup(nil, "a", "b")), "NR"},
+		"version 2": {"\x00\x00\x00\x08\x00\x02\x00\x00", "E"},
+		"cancel":    {"\x00\x00\x00\x08\x04\xd2\x16\x2e", ""},
+		"too long":  {"\xff\xff\xff\xff", "E"},
+		"too short": {"\x00\x00\x00\x04", "E"},
+		"silence":   {"\x00\x00", "E"},
+		"http":      {"GET / HTTP/1.1\r\n\r\n", "E"},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s, _ := newServer(&fakeCore{}, 1)
+			a, b := net.Pipe()
+			s.Handle(b)
+			p := newPeer(a)
+			p.write <- []byte(tc.in)
+			time.Sleep(3 * time.Second)
+			if got := p.got.String(); len(got) < len(tc.out) || got[:len(tc.out)] != tc.out || tc.out == "" && got != "" {
+				t.Errorf("%s: got %q, want %q first", name, got, tc.out)
+			}
+			if p.ended == (tc.out == "NR") {
+				t.Errorf("%s: ended %v", name, p.ended)
+			}
+			close(p.write)
+			_ = a.Close()
+			synctest.Wait()
+		})
+	}
+}
+
+// model is what the connection should do: the replies it owes, in the order of
+// the commands, up to the first request that has no answer yet.
+type model struct {
+	commands []string // replies owed to each command; "" for a request still open
+	skipping bool
+	ended    bool // the connection must end once all before is answered
+}
+
+// step adds a command and returns its bytes.
+func (m *model) step(b byte, left int) []byte {
+	add := func(reply string) { m.commands = append(m.commands, reply) }
+	extended := func(typ byte) []byte {
+		if !m.skipping {
+			add("E0A000")
+		}
+		m.skipping = true
+		return pgwire.Append(nil, typ, "x")
+	}
+	switch b % 12 {
+	case 0, 1, 2:
+		add("")
+		return query(read)
+	case 3:
+		add("I Z")
+		return query(" ;\n")
+	case 4:
+		add("C Z")
+		return query("set x = 1")
+	case 5:
+		add("E42601 Z")
+		return query("SELECT 1")
+	case 6:
+		add("E42601 Z")
+		return query("/* c=w,d=1 */ SELECT 'a'")
+	case 7:
+		return extended('P')
+	case 8:
+		return extended('E')
+	case 9:
+		m.skipping = false
+		add("Z")
+		return pgwire.Append(nil, 'S')
+	case 10:
+		m.ended = true
+		if left%2 == 0 {
+			return pgwire.Append(nil, 'X')
+		}
+		add("E08P01")
+		return pgwire.Append(nil, 'y', "what")
+	}
+	m.ended = true
+	add("E08P01")
+	return []byte{'Q', 0xff, 0xff, 0xff, 0xff}
+}
+
+// FuzzConn plays random commands, answers, departures and shutdowns against a
+// connection and holds its replies against the model. Guards: one answer a
+// request and in order, none for a client that left, no buffer lost.
+func FuzzConn(f *testing.F) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 150 {
+		steps := make([]byte, 4+rng.IntN(40))
+		for i := range steps {
+			steps[i] = byte(rng.IntN(256))
+		}
+		f.Add(steps)
+	}
+	f.Add([]byte{0, 0, 0, 200, 200, 200, 251}) // three ahead, answered in order, then shutdown
+	f.Add([]byte{0, 240})                      // a client that leaves with a request open
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		synctest.Test(t, func(t *testing.T) { playConn(t, steps[:min(len(steps), 60)]) })
+	})
+}
+
+func playConn(t *testing.T, steps []byte) {
+	f := &fakeCore{}
+	s, bufs := newServer(f, 1)
+	a, b := net.Pipe()
+	s.Handle(b)
+	p, m := newPeer(a), &model{}
+	p.write <- pgwire.AppendStartup(nil, "app", "shop")
+	synctest.Wait()
+	if got := p.replies(t); len(got) < 3 || got[0] != "R" || got[len(got)-1] != "Z" {
+		t.Fatalf("welcome %q", got)
+	}
+	want, stopped, left := []string{}, false, false
+	answers := map[core.Verdict]string{core.Served: "D Z", core.Refused: "E5330070 Z", core.Failed: "E58000 Z"}
+	for i, b := range steps {
+		open := slices.Index(m.commands, "")
+		switch {
+		case b >= 250 && !stopped:
+			stopped = true
+			go s.Shutdown()
+			m.ended = true
+		case b >= 240 && i > 0:
+			left = true
+		case b >= 150 && open >= 0 && len(f.open) > 0:
+			answer := core.Answer{Verdict: core.Verdict(b % 3), After: 70 * time.Millisecond}
+			if answer.Verdict == core.Served {
+				body := bufs.Get()
+				body.B = pgwire.Append(body.B, 'D', "\x00\x01\x00\x00\x00\x01v")
+				answer.Body = body
+			}
+			q := f.open[0]
+			f.open = f.open[1:]
+			q.Call.Release()
+			q.Client.Answer(answer)
+			m.commands[open] = answers[answer.Verdict]
+		case b < 150 && !m.ended && len(m.commands) < 12:
+			text := m.step(b, len(steps)-i)
+			cut := int(b) % (len(text) + 1) // messages come in pieces
+			p.write <- text[:cut]
+			synctest.Wait()
+			p.write <- text[cut:]
+		}
+		synctest.Wait()
+		if left {
+			break
+		}
+		want = want[:0]
+		for _, c := range m.commands {
+			if c == "" {
+				break
+			}
+			for _, r := range bytes.Fields([]byte(c)) {
+				want = append(want, string(r))
+			}
+		}
+		if got := p.replies(t); !slices.Equal(got, want) {
+			t.Fatalf("step %d: replies %q, want %q", i, got, want)
+		}
+		for len(m.commands) > 0 && m.commands[0] != "" {
+			m.commands = m.commands[1:]
+		}
+		if done := m.ended && len(m.commands) == 0; p.ended != done {
+			t.Fatalf("step %d: ended %v, want %v", i, p.ended, done)
+		}
+		if len(f.open) > 1 {
+			t.Fatalf("step %d: %d requests of one connection in work", i, len(f.open))
+		}
+	}
+	close(p.write)
+	_ = a.Close()
+	time.Sleep(5 * time.Second)
+	s.Shutdown()
+	if len(f.open) > 0 || bufs.Free() != buffers {
+		t.Fatalf("%d requests left open, %d of %d buffers back", len(f.open), bufs.Free(), buffers)
+	}
+}
+
+// TestBuffers: with no buffer to spare a query is refused, with a time to come back, and the connection goes on.
+func TestBuffers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, bufs := newServer(&fakeCore{}, 1)
+		for range buffers - 1 {
+			bufs.Get()
+		}
+		a, b := net.Pipe()
+		s.Handle(b)
+		p := newPeer(a)
+		p.write <- pgwire.AppendStartup(nil, "app", "shop")
+		synctest.Wait()
+		p.replies(t)
+		p.write <- append(query(read), query("")...)
+		synctest.Wait()
+		if got := fmt.Sprint(p.replies(t)); got != "[E53300500 Z E53300500 Z]" {
+			t.Errorf("replies %s", got)
+		}
+		close(p.write)
+		_ = a.Close()
+		synctest.Wait()
+	})
+}
