--- a/internal/pgfront/conn_test.go
+++ b/internal/pgfront/conn_test.go
@@ -129,6 +129,7 @@
 			p := newPeer(a)
 			p.write <- []byte(tc.in)
 			time.Sleep(3 * time.Second)
+			synctest.Wait()
 			if got := p.got.String(); len(got) < len(tc.out) || got[:len(tc.out)] != tc.out || tc.out == "" && got != "" {
 				t.Errorf("%s: got %q, want %q first", name, got, tc.out)
 			}
@@ -286,6 +287,7 @@
 	close(p.write)
 	_ = a.Close()
 	time.Sleep(5 * time.Second)
+	synctest.Wait()
 	s.Shutdown()
 	if len(f.open) > 0 || bufs.Free() != buffers {
 		t.Fatalf("%d requests left open, %d of %d buffers back", len(f.open), bufs.Free(), buffers)
