--- /dev/null
+++ b/cmd/reachwind/main_test.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const good = `{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
+"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"generation":1,"instances":[{"instanceId":"a","lifecycle":"ready"}]},
+"settings":{"Instances":1,"Grades":[{"Name":"r","Effect":"repeatable","KeyScope":"all","AimUs":100000,"DeadlineUs":500000}],
+"FamilyInfo":{"Consistency":["any"],"ClassBoundUs":[0]}}}`
+
+// TestCheck: a bad configuration ends with one clear line.
+func TestCheck(t *testing.T) {
+	for name, tc := range map[string]struct{ old, new, want string }{
+		"good":      {"", "", ""},
+		"json":      {`{"name"`, `{"name`, "invalid character"},
+		"listen":    {"127.0.0.1:0", "nowhere", "listen: "},
+		"discovery": {"127.0.0.1:1", "", "discovery: "},
+		"seed":      {"8c1f", "xyz", "seed: "},
+		"memory":    {`"memory_mb":192`, `"memory_mb":1`, "limits: "},
+		"sockets":   {`"sockets":1024`, `"sockets":3`, "limits: "},
+		"lifecycle": {`"ready"`, `"odd"`, `unknown lifecycle "odd"`},
+		"class":     {`"repeatable"`, `"odd"`, `unknown Effect "odd"`},
+		"grades":    {`"any"`, ``, "settings: "},
+		"aim":       {`"AimUs":100000,`, ``, "aim and deadline"},
+	} {
+		t.Setenv("NODE_DISCOVERY", "")
+		path := filepath.Join(t.TempDir(), "c.json")
+		if err := os.WriteFile(path, []byte(strings.Replace(good, tc.old, tc.new, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var out, errs strings.Builder
+		err := run([]string{"check", "--config", path}, &out, &errs)
+		if tc.want == "" {
+			if err != nil || !strings.HasPrefix(out.String(), "ok: n1") {
+				t.Errorf("%s: %v, %q", name, err, out.String())
+			}
+		} else if err == nil || !strings.Contains(err.Error(), tc.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v, want one line with %q", name, err, tc.want)
+		}
+	}
+}
+
+func TestCommands(t *testing.T) {
+	for _, args := range [][]string{{}, {"nonsense"}, {"serve", "twice"}, {"--nonsense"}, {"check", "--config", "/nonexistent"},
+		{"version", "--log-level", "odd"}} {
+		if err := run(args, new(strings.Builder), new(strings.Builder)); err == nil {
+			t.Errorf("%q: no error", args)
+		}
+	}
+	var out strings.Builder
+	if err := run([]string{"version"}, &out, new(strings.Builder)); err != nil || out.String() != "reachwind "+version+"\n" {
+		t.Errorf("version: %q, %v", out.String(), err)
+	}
+}
+
+// TestLogDrops: a reader that takes no line holds up nobody, and learns how many it missed.
+func TestLogDrops(t *testing.T) {
+	gate, got := make(chan struct{}), new(strings.Builder)
+	w := newLogWriter(writerFunc(func(p []byte) (int, error) {
+		<-gate
+		return got.Write(p)
+	}))
+	const lines = 2 * logRoom
+	for range lines {
+		_, _ = w.Write([]byte("line\n"))
+	}
+	close(gate)
+	w.lines <- nil
+	<-w.done
+	_, _ = w.Write([]byte("late\n"))
+	if n := strings.Count(got.String(), "line\n"); n < logRoom || n > logRoom+1 || !strings.Contains(got.String(), "dropped") {
+		t.Errorf("%d lines, %.80q", n, got.String())
+	}
+}
+
+type writerFunc func(p []byte) (int, error)
+
+func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,139 @@
+package core
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"reachwind/decide"
+)
+
+// script takes the place of the module and of the members: it acts as told and notes what comes.
+type script struct {
+	on     map[decide.EventKind][]decide.Action
+	events []decide.Event
+	sent   []*Attempt
+	stops  []decide.Result
+	steps  int
+}
+
+func (s *script) Step(_ Time, events []decide.Event, out []decide.Action) []decide.Action {
+	s.steps++
+	for _, e := range events {
+		s.events = append(s.events, e)
+		out = append(out, s.on[e.Kind]...)
+	}
+	return out
+}
+func (s *script) Send(a *Attempt)                    { s.sent = append(s.sent, a) }
+func (s *script) Stop(_ *Attempt, why decide.Result) { s.stops = append(s.stops, why) }
+func (s *script) Probe(string)                       {}
+func (s *script) List(decide.EventKind, []Listed)    {}
+
+type payload struct{ released int }
+
+func (p *payload) Release() { p.released++ }
+
+type client struct{ answers []Answer }
+
+func (c *client) Answer(a Answer) { c.answers = append(c.answers, a) }
+
+// run plays f against a core whose module sends each request that arrives.
+func run(t *testing.T, f func(c *Core, s *script, cl *client, call *payload, q *Request)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{on: map[decide.EventKind][]decide.Action{decide.Arrive: {{Kind: decide.Send, Request: 1, Member: "m",
+			Timeout: 100 * time.Millisecond}}}}
+		c := New(NewClock(), s, slog.New(slog.DiscardHandler))
+		c.Connect(s, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		go c.Run(ctx)
+		cl, call := new(client), new(payload)
+		q := &Request{Until: c.Now() + 300*time.Millisecond, Call: call, Client: cl}
+		c.Arrive(q)
+		synctest.Wait()
+		f(c, s, cl, call, q)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestDeadline: a request that the module forgets is answered all the same, and its attempt stopped once.
+func TestDeadline(t *testing.T) {
+	run(t, func(c *Core, s *script, cl *client, call *payload, q *Request) {
+		time.Sleep(301 * time.Millisecond)
+		synctest.Wait()
+		c.Post(func() {
+			if len(cl.answers) != 0 || len(s.stops) != 1 || s.stops[0] != decide.TimedOut {
+				t.Errorf("answers %v, stops %v", cl.answers, s.stops)
+			}
+		})
+		time.Sleep(10 * time.Millisecond)
+		synctest.Wait()
+		if len(cl.answers) != 1 || cl.answers[0].Verdict != Failed || s.events[len(s.events)-1].Kind != decide.ClientGone {
+			t.Errorf("answers %v, events %v", cl.answers, s.events)
+		}
+		if call.released != 0 {
+			t.Error("the statement was released while an attempt is out")
+		}
+		c.Done(s.sent[0], Outcome{Result: decide.TimedOut})
+		synctest.Wait()
+		if e := s.events[len(s.events)-1]; e.Kind != decide.Outcome || !e.Ended || call.released != 1 || len(c.requests) != 0 {
+			t.Errorf("event %+v, released %d times, %d requests kept", e, call.released, len(c.requests))
+		}
+	})
+}
+
+// TestOneAnswer: the first answer is the only one, late ones are released, and a second outcome is not passed on.
+func TestOneAnswer(t *testing.T) {
+	run(t, func(c *Core, s *script, cl *client, call *payload, q *Request) {
+		first, second := new(payload), new(payload)
+		c.Done(s.sent[0], Outcome{Result: decide.Served, Body: first})
+		c.Done(s.sent[0], Outcome{Result: decide.Served, Body: second})
+		c.Gone(q)
+		synctest.Wait()
+		if len(cl.answers) != 1 || len(s.events) != 2 || first.released != 0 || second.released != 1 || call.released != 1 {
+			t.Errorf("%d answers, %d events, released %d, %d and %d times", len(cl.answers), len(s.events),
+				first.released, second.released, call.released)
+		}
+	})
+	run(t, func(c *Core, s *script, cl *client, call *payload, q *Request) {
+		late := new(payload)
+		c.Gone(q)
+		c.Done(s.sent[0], Outcome{Result: decide.Served, Body: late})
+		synctest.Wait()
+		if len(cl.answers) != 0 || late.released != 1 || call.released != 1 {
+			t.Errorf("%d answers, released %d and %d times", len(cl.answers), late.released, call.released)
+		}
+	})
+}
+
+// TestNoSecondCopy: whatever the module says, no request has two attempts out.
+func TestNoSecondCopy(t *testing.T) {
+	run(t, func(c *Core, s *script, cl *client, call *payload, q *Request) {
+		s.on[decide.ListError] = s.on[decide.Arrive]
+		c.List(decide.ListError, nil)
+		synctest.Wait()
+		e := s.events[len(s.events)-1]
+		if len(s.sent) != 1 || e.Kind != decide.Outcome || e.Attempt != 1 || e.Result != decide.NotSent {
+			t.Errorf("%d sent, last event %+v", len(s.sent), e)
+		}
+	})
+}
+
+// TestBatch: what waits goes to the module in one step.
+func TestBatch(t *testing.T) {
+	run(t, func(c *Core, s *script, cl *client, call *payload, q *Request) {
+		before := s.steps
+		c.Post(func() {
+			for range 10 {
+				c.Probed("m", decide.Served, decide.Report{})
+			}
+		})
+		synctest.Wait()
+		if s.steps != before+1 || len(s.events) != 11 {
+			t.Errorf("%d steps, %d events", s.steps-before, len(s.events))
+		}
+	})
+}
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,120 @@
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"reachwind/decide"
+	"reachwind/internal/core"
+)
+
+func TestReadResponse(t *testing.T) {
+	for name, tc := range map[string]struct {
+		in, body string
+		ok, keep bool
+	}{
+		"length":     {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", "{}", true, true},
+		"chunks":     {"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;x=y\r\n{\r\n1\r\n}\r\n0\r\nT: 1\r\n\r\n", "{}", true, true},
+		"to the end": {"HTTP/1.0 200 OK\r\n\r\n{}", "{}", true, false},
+		"close":      {"HTTP/1.1 503 No\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", "", true, false},
+		"interim":    {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 None\r\n\r\n", "", true, true},
+		"cut":        {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}", "", false, false},
+		"no http":    {"SSH-2.0-x\r\n", "", false, false},
+		"length -1":  {"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "", false, false},
+		"huge":       {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "", false, false},
+		"huge chunk": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n", "", false, false},
+		"long line":  {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", maxLine) + "\r\n\r\n", "", false, false},
+		"headers":    {"HTTP/1.1 200 OK\r\n" + strings.Repeat("X: y\r\n", maxHeaders+1) + "\r\n", "", false, false},
+	} {
+		r, err := readResponse(bufio.NewReader(strings.NewReader(tc.in)))
+		if (err == nil) != tc.ok || tc.ok && (string(r.body) != tc.body || r.keep != tc.keep) {
+			t.Errorf("%s: %+v, %v", name, r, err)
+		}
+	}
+}
+
+func FuzzReadResponse(f *testing.F) {
+	f.Add("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n0\r\n\r\n")
+	f.Add("HTTP/1.1 100 C\r\n\r\nHTTP/1.1 100 C\r\n\r\n")
+	f.Fuzz(func(t *testing.T, in string) {
+		r, err := readResponse(bufio.NewReader(strings.NewReader(in)))
+		if err == nil && (len(r.body) > len(in) || r.status < 200) {
+			t.Errorf("%q gave %+v", in, r)
+		}
+	})
+}
+
+// TestFollow: a watch begins with a call that does not wait, goes on at once
+// after each answer from the version told last, and ends with the first
+// failure, which is told; it begins anew only when asked for.
+func TestFollow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var calls, told []string
+		answers := []string{
+			`{"generation":8,"reset":false,"instances":[{"instanceId":"a","hostPort":"h:1","lifecycle":"gone"}]}`,
+			`{"generation":9,"reset":true,"instances":[{"instanceId":"b","hostPort":"h:2","lifecycle":"ready","startedAtMs":5}]}`,
+			`{"generation":9,"instances":[{"instanceId":"c","lifecycle":"odd"}]}`,
+			`{`,
+		}
+		dial := func(context.Context, string) (net.Conn, error) {
+			if len(calls) == len(answers) {
+				return nil, errors.New("refused")
+			}
+			a, b := net.Pipe()
+			go func() {
+				r := bufio.NewReader(b)
+				for len(answers) > len(calls) {
+					line, err := r.ReadString('\n')
+					if err != nil {
+						return
+					}
+					for rest := "x"; strings.TrimSpace(rest) != ""; {
+						rest, _ = r.ReadString('\n')
+					}
+					text := answers[len(calls)]
+					calls = append(calls, strings.Fields(line)[1])
+					_, _ = fmt.Fprintf(b, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+				}
+			}()
+			return a, nil
+		}
+		sink := func(kind decide.EventKind, list []core.Listed) {
+			s := fmt.Sprint(kind)
+			for _, l := range list {
+				s += fmt.Sprintf(" %s %s %d %v", l.ID, l.Addr, l.State, l.Started)
+			}
+			told = append(told, s)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		c := New("h:0", 7, sink, dial, slog.New(slog.DiscardHandler))
+		go c.Run(ctx)
+		begin := time.Now()
+		for range 3 {
+			c.Watch()
+			synctest.Wait()
+		}
+		want := "/v1/endpoints?index=7&wait=0 /v1/endpoints?index=8&wait=20000 /v1/endpoints?index=9&wait=20000 /v1/endpoints?index=9&wait=0"
+		if got := strings.Join(calls, " "); got != want {
+			t.Errorf("calls %s", got)
+		}
+		want = fmt.Sprintf("%d a h:1 2 0s|%d b h:2 0 5ms|%d|%d|%d",
+			decide.ListChange, decide.ListFull, decide.ListError, decide.ListError, decide.ListError)
+		if got := strings.Join(told, "|"); got != want {
+			t.Errorf("told %s, want %s", got, want)
+		}
+		if time.Since(begin) > 0 {
+			t.Errorf("it waited %v between calls", time.Since(begin))
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/pgmember/pool_test.go
+++ b/internal/pgmember/pool_test.go
@@ -106,12 +106,38 @@
 	a, b := net.Pipe()
 	r.count(1)
 	r.t.Cleanup(func() { _ = b.Close() })
+	l := &link{Conn: a, r: r}
 	go func() {
-		r.member(b)
+		r.member(b, l)
 		_ = b.Close()
 		r.count(-1)
 	}()
-	return a, nil
+	return l, nil
+}
+
+// link is the gateway's end of a connection, which knows the attempt out on it.
+type link struct {
+	net.Conn
+	r      *rig
+	id     string
+	closed bool
+}
+
+func (l *link) Close() error {
+	l.over()
+	l.r.mu.Lock()
+	l.closed = true
+	l.r.mu.Unlock()
+	return l.Conn.Close()
+}
+
+func (l *link) over() {
+	l.r.mu.Lock()
+	defer l.r.mu.Unlock()
+	if l.id != "" {
+		l.r.out[l.id]--
+		l.id = ""
+	}
 }
 
 func (r *rig) count(n int) {
@@ -137,7 +163,7 @@
 }
 
 // member serves one connection as a db machine does.
-func (r *rig) member(c net.Conn) {
+func (r *rig) member(c net.Conn, l *link) {
 	head := make([]byte, 5)
 	if _, err := io.ReadFull(c, head[:4]); err != nil {
 		return
@@ -158,14 +184,14 @@
 				string(rune(len(row))), row), 'C', "SHOW\x00")))
 			continue
 		}
-		if !r.query(c, string(body)) {
+		if !r.query(c, l, string(body)) {
 			return
 		}
 	}
 }
 
 // query meets one statement and tells whether the connection goes on.
-func (r *rig) query(c net.Conn, text string) bool {
+func (r *rig) query(c net.Conn, l *link, text string) bool {
 	id, _, _ := strings.Cut(strings.TrimPrefix(text, "/* id="), ",")
 	if !strings.HasSuffix(text, "WHERE id = 'k'\x00") || !strings.Contains(text, ",c=r,d=") {
 		r.t.Errorf("statement changed: %q", text)
@@ -173,7 +199,10 @@
 	r.mu.Lock()
 	r.got++
 	r.last = time.Now()
-	r.out[id]++
+	if !l.closed {
+		r.out[id]++
+		l.id = id
+	}
 	if r.out[id] > 1 {
 		r.t.Errorf("two attempts of request %s out", id)
 	}
@@ -209,9 +238,7 @@
 	default:
 		reply = pgwire.AppendReady(append(pgwire.AppendError(nil, "ERROR", way, "no", ""), note...))
 	}
-	r.mu.Lock()
-	r.out[id]-- // from the member's side it is over now
-	r.mu.Unlock()
+	l.over()
 	_, _ = c.Write(reply)
 	return more
 }
--- /dev/null
+++ b/internal/pgwire/pgwire_test.go
@@ -0,0 +1,100 @@
+package pgwire
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+func parse(text string) (*Statement, error) {
+	b := NewPool(1).Get()
+	b.B = append(b.B, text...)
+	return Parse(b)
+}
+
+func TestParse(t *testing.T) {
+	s, err := parse(`/* id=9b,c=order,t=acme,d=480,k=5c,cluster=2,after=1767225600123,r=1,new=x */ ` +
+		`INSERT INTO items (id, doc) VALUES ('7f''3', '\x9f03') RETURNING doc`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Class != "order" || s.Tenant != "acme" || s.Wait != 480 || s.Cluster != 2 || s.After != 1767225600123 ||
+		!s.Retry || s.Key != "7f'3" || s.Read {
+		t.Errorf("parsed %+v", s)
+	}
+	want := "/* id=9b,c=order,t=acme,d=7,k=5c,cluster=2,after=1767225600123,r=1,new=x */ " +
+		`INSERT INTO items (id, doc) VALUES ('7f''3', '\x9f03') RETURNING doc` + "\x00"
+	q := s.AppendQuery(nil, 7)
+	if typ, n, err := Header(q); typ != 'Q' || n != len(want) || err != nil || string(q[5:]) != want {
+		t.Errorf("query %q", q)
+	}
+	for name, text := range map[string]string{
+		"no comment": "SELECT 1", "no end": "/* c=a,d=1 SELECT 1", "no class": "/* d=1 */ SELECT 'a'",
+		"no wait": "/* c=a */ SELECT 'a'", "bad wait": "/* c=a,d=x */ SELECT 'a'", "negative": "/* c=a,d=-1 */ SELECT 'a'",
+		"huge": "/* c=a,d=99999999999999999999 */ SELECT 'a'", "verb": "/* c=a,d=1 */ DROP TABLE items",
+		"late comment": "SELECT /* c=a,d=1 */ 'a'",
+	} {
+		if _, err := parse(text); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
+
+// FuzzParse: whatever a client sends there is no panic, and what is passed on differs in d alone.
+func FuzzParse(f *testing.F) {
+	for _, s := range []string{"/* c=a,d=1 */ SELECT 'x'", "/*d=,c=a*/ SELECT", "/* c=a,d= 5 ,d=6 */ INSERT 'a''", "/*/", "/*c=a,,d=1*/select'"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := parse(text[:min(len(text), 4096)])
+		if err != nil {
+			return
+		}
+		q := s.AppendQuery(nil, 12345)
+		want := string(s.Buf.B[:s.dFrom]) + "12345" + string(s.Buf.B[s.dTo:]) + "\x00"
+		if string(q[5:]) != want || strings.Contains(string(s.Buf.B[s.dFrom:s.dTo]), ",") {
+			t.Errorf("%q became %q", text, q)
+		}
+	})
+}
+
+func TestMessages(t *testing.T) {
+	e := AppendError(nil, "ERROR", "53300", "no", "70")
+	if ErrorField(e[5:], 'C') != "53300" || ErrorField(e[5:], 'D') != "70" || ErrorField(e[5:], 'H') != "" {
+		t.Errorf("error %q", e)
+	}
+	if ErrorField([]byte("Cxx"), 'C') != "" {
+		t.Error("a field without end was taken")
+	}
+	if n, v := Status(AppendStatus(nil, "recovery", "on")[5:]); n != "recovery" || v != "on" {
+		t.Error(n, v)
+	}
+	for _, bad := range []string{"", "\x00\x00", "\x00\x01\xff\xff\xff\xff", "\x00\x01\x00\x00\x00\x05abc"} {
+		if Column([]byte(bad)) != nil {
+			t.Errorf("column of %q", bad)
+		}
+	}
+	for _, n := range [][]byte{{'Q', 0, 0, 0, 3}, {'Q', 0x7f, 0, 0, 0}, {'Q', 0xff, 0xff, 0xff, 0xff}} {
+		if _, _, err := Header(n); err == nil {
+			t.Errorf("length %v taken", n[1:])
+		}
+	}
+	var names []string
+	Pairs([]byte("x0=1.5, x1=1,bad,nan=NaN,inf=Inf"), func(n string, v float64) { names = append(names, n) })
+	if strings.Join(names, " ") != "x0 x1" {
+		t.Errorf("pairs %q", names)
+	}
+}
+
+func TestPool(t *testing.T) {
+	p := NewPool(2)
+	a, b := p.Get(), p.Get()
+	if a == nil || b == nil || p.Get() != nil || p.Free() != 0 {
+		t.Fatal("the pool has no limit")
+	}
+	a.B = append(a.B, bytes.Repeat([]byte("x"), 100)...)
+	a.Release()
+	if c := p.Get(); c != a || len(c.B) != 0 || cap(c.B) != BufSize {
+		t.Error("a buffer did not come back empty")
+	}
+}
--- /dev/null
+++ b/internal/wake/wake_test.go
@@ -0,0 +1,84 @@
+package wake
+
+import (
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+)
+
+// TestNoLostMessage: whenever a message is left, before a read, during it or
+// between the reset of the deadline and the next read, the reader gets it.
+func TestNoLostMessage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := net.Pipe()
+		w := New[int](a, 16)
+		const most = 1000
+		got := 0
+		done := make(chan error, 1)
+		go func() {
+			for got < most {
+				if _, err := w.Peek(1, func() error {
+					for _, m := range w.Take() {
+						if m != got {
+							return errors.New("out of order")
+						}
+						got++
+					}
+					if got == most {
+						return io.EOF
+					}
+					return nil
+				}); err != nil {
+					done <- err
+					return
+				}
+			}
+		}()
+		for i := range most {
+			if !w.Leave(i) {
+				t.Fatal("mailbox closed")
+			}
+			if i%3 == 0 {
+				synctest.Wait()
+			}
+		}
+		if err := <-done; err != io.EOF || got != most {
+			t.Errorf("%d of %d messages, %v", got, most, err)
+		}
+		w.Leave(most)
+		if left := w.End(); len(left) != 1 || w.Leave(0) {
+			t.Errorf("%d messages left at the end, or the mailbox is open", len(left))
+		}
+		_ = b.Close()
+	})
+}
+
+// TestFill: a wake in the middle of a message loses no byte of it.
+func TestFill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := net.Pipe()
+		w := New[int](a, 16)
+		body := make([]byte, 64)
+		woken := 0
+		done := make(chan error, 1)
+		go func() { done <- w.Fill(body, func() error { woken++; return nil }) }()
+		for i := range 64 {
+			_, _ = b.Write([]byte{byte(i)})
+			if i%7 == 0 {
+				w.Leave(i)
+				synctest.Wait()
+			}
+		}
+		if err := <-done; err != nil || woken == 0 {
+			t.Fatal(err, woken)
+		}
+		for i, c := range body {
+			if int(c) != i {
+				t.Fatalf("byte %d is %d", i, c)
+			}
+		}
+		_, _ = w.End(), b.Close()
+	})
+}
