End connections whose message stalls halfway, as it keeps a buffer

A client that began a statement and sent no more kept one of the pool's buffers for as long as it liked; enough of them would have had the gateway refuse everyone. A read of a message's rest now has the time limit that the startup has.

--- a/cmd/reachwind/config.go
+++ b/cmd/reachwind/config.go
@@ -49,7 +49,6 @@
 	var f struct {
 		Name, Listen, Discovery, Seed string
 		Limits                        struct {
-			Cores   float64
 			Memory  float64 `json:"memory_mb"`
 			Sockets int
 		}
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -21,7 +21,7 @@
 	request *core.Request
 	answer  core.Answer
 	stop    bool // close once idle
-	expire  bool // the time for the startup is up
+	expire  int  // the time for this read is up
 }
 
 // conn is one client connection.
@@ -29,7 +29,7 @@
 	*wake.Conn[message]
 	s        *Server
 	refuse   bool // too many connections: say so and close
-	started  bool
+	reads    int  // counts reads with a time limit; odd while one is on
 	stopping bool
 	skipping bool // an extended query was refused: skip to its Sync
 	answered []message
@@ -39,7 +39,7 @@
 var (
 	errGone     = errors.New("client has gone")
 	errEnd      = errors.New("end of connection")
-	errTooSlow  = errors.New("startup took too long")
+	errTooSlow  = errors.New("message took too long to come")
 	errSevered  = errors.New("stopping")
 	errProtocol = errors.New("protocol violation")
 )
@@ -67,12 +67,9 @@
 	for err == nil {
 		err = c.next()
 	}
-	switch {
-	case errors.Is(err, pgwire.ErrTooLong), errors.Is(err, errProtocol):
+	if errors.Is(err, pgwire.ErrTooLong) || errors.Is(err, errProtocol) || errors.Is(err, errTooSlow) {
 		c.s.log.Info("client broke the protocol", "err", err)
 		c.fatal(pgwire.ProtocolViolation, err.Error(), "")
-	case errors.Is(err, errTooSlow):
-		c.fatal(pgwire.ProtocolViolation, err.Error(), "")
 	}
 	for _, m := range append(c.answered, c.End()...) {
 		if m.answer.Body != nil {
@@ -89,13 +86,25 @@
 			c.answered = append(c.answered, m)
 		case m.stop:
 			c.stopping = true
-		case m.expire && !c.started:
+		case m.expire == c.reads:
 			return errTooSlow
 		}
 	}
 	return nil
 }
 
+// limit bounds the time of a read until stop is called, so that a client that
+// stalls halfway through a message does not keep a buffer.
+func (c *conn) limit(wait time.Duration) (stop func()) {
+	c.reads++
+	read := c.reads
+	t := time.AfterFunc(wait, func() { c.Leave(message{expire: read}) })
+	return func() {
+		t.Stop()
+		c.reads++
+	}
+}
+
 // idle is woken, for when nothing of a message has come: a stopping connection ends there.
 func (c *conn) idle() error {
 	if err := c.woken(); err != nil {
@@ -113,8 +122,7 @@
 	if c.refuse {
 		wait = c.s.conf.RefuseWait
 	}
-	expire := time.AfterFunc(wait, func() { c.Leave(message{expire: true}) })
-	defer expire.Stop()
+	defer c.limit(wait)()
 	for {
 		head, err := c.Peek(4, c.idle)
 		if err != nil {
@@ -142,7 +150,6 @@
 		}
 		break
 	}
-	c.started = true
 	if c.refuse {
 		c.fatal(pgwire.TooManyConnections, "too many connections", c.comeBack())
 		return errEnd
@@ -202,6 +209,7 @@
 
 // skip passes over n bytes.
 func (c *conn) skip(n int) error {
+	defer c.limit(c.s.conf.StartWait)()
 	for n > 0 {
 		if _, err := c.Peek(1, c.woken); err != nil {
 			return err
@@ -225,7 +233,10 @@
 		return c.full(n)
 	}
 	buf.B = buf.B[:n]
-	if err := c.Fill(buf.B, c.woken); err != nil {
+	stop := c.limit(c.s.conf.StartWait)
+	err := c.Fill(buf.B, c.woken)
+	stop()
+	if err != nil {
 		buf.Release()
 		return err
 	}
--- a/internal/pgfront/conn_test.go
+++ b/internal/pgfront/conn_test.go
@@ -143,6 +143,34 @@
 	}
 }
 
+// TestStall: a client that stalls halfway through a statement loses its connection, and no buffer is kept.
+func TestStall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeCore{}
+		s, bufs := newServer(f, 1)
+		a, b := net.Pipe()
+		s.Handle(b)
+		p := newPeer(a)
+		p.write <- pgwire.AppendStartup(nil, "app", "shop")
+		synctest.Wait()
+		p.replies(t)
+		time.Sleep(time.Minute) // idle clients may stay
+		p.write <- query(read)[:40]
+		synctest.Wait()
+		if p.ended || bufs.Free() != buffers-1 {
+			t.Errorf("ended %v, %d of %d buffers free", p.ended, bufs.Free(), buffers)
+		}
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		if got := p.replies(t); !slices.Equal(got, []string{"E08P01"}) || !p.ended || bufs.Free() != buffers || f.arrived != 0 {
+			t.Errorf("replies %q, ended %v, %d of %d buffers free", got, p.ended, bufs.Free(), buffers)
+		}
+		close(p.write)
+		_ = a.Close()
+		synctest.Wait()
+	})
+}
+
 // model is what the connection should do: the replies it owes, in the order of
 // the commands, up to the first request that has no answer yet.
 type model struct {
--- a/internal/pgfront/server.go
+++ b/internal/pgfront/server.go
@@ -22,7 +22,7 @@
 	Max        int           // client connections; more are refused
 	ComeBack   time.Duration // told to those refused for want of room, 0 = nothing
 	Keep       int           // buffers left to the members when statements take the rest
-	StartWait  time.Duration // a client must have said who it is by then
+	StartWait  time.Duration // the startup, and each message once begun, must have come by then
 	WriteWait  time.Duration // an answer must have been taken by then
 	RefuseWait time.Duration // how long a refused connection may linger
 }
