Leave before SIGKILL whatever the deadlines, and bound discovery's interim answers

Seen in a review: the last moment after SIGTERM was reckoned from at least 3 s, where the platform reckons from at most 3 s, so with short deadlines only SIGKILL would have ended the gateway (windDown in serve.go). readResponse called itself for each interim answer, without bound.

--- a/cmd/reachwind/main_test.go
+++ b/cmd/reachwind/main_test.go
@@ -5,6 +5,9 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
+
+	"reachwind/decide"
 )
 
 const good = `{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
@@ -57,6 +60,17 @@
 	}
 }
 
+// TestLastCall: the gateway is out before SIGKILL may come, 0.7 s past the longest deadline or 3 s.
+func TestLastCall(t *testing.T) {
+	for deadline, kill := range map[time.Duration]time.Duration{time.Second: 1700 * time.Millisecond,
+		3 * time.Second: 3700 * time.Millisecond, 9 * time.Second: 3700 * time.Millisecond} {
+		got := lastCall([]decide.Class{{Deadline: deadline}, {Deadline: deadline / 2}})
+		if got >= kill || got < kill-200*time.Millisecond {
+			t.Errorf("deadline %v: out after %v, killed after %v", deadline, got, kill)
+		}
+	}
+}
+
 // TestLogDrops: a reader that takes no line holds up nobody, and learns how many it missed.
 func TestLogDrops(t *testing.T) {
 	gate, got := make(chan struct{}), new(strings.Builder)
--- a/cmd/reachwind/serve.go
+++ b/cmd/reachwind/serve.go
@@ -36,7 +36,7 @@
 	connectUsual  = 250 * time.Millisecond
 	idleUsual     = 15 * time.Second
 	graceUsual    = 250 * time.Millisecond
-	longestLeast  = 3 * time.Second
+	longestMost   = 3 * time.Second
 	startWait     = 10 * time.Second
 	writeWait     = 5 * time.Second
 	refuseWait    = time.Second
@@ -103,11 +103,7 @@
 // the platform would end it.
 func windDown(c *config, front *pgfront.Server, listener net.Listener, log *slog.Logger) error {
 	log.Info("stopping", "accept_for", acceptAfter)
-	last := longestLeast
-	for i := range c.decide.Classes {
-		last = max(last, c.decide.Classes[i].Deadline)
-	}
-	late := time.After(last + lastMoment)
+	late := time.After(lastCall(c.decide.Classes))
 	time.Sleep(acceptAfter)
 	_ = listener.Close()
 	done := make(chan struct{})
@@ -124,6 +120,16 @@
 	return nil
 }
 
+// lastCall is how long after SIGTERM the gateway may still run: SIGKILL follows
+// the longest deadline, which the platform takes as 3 s where it is longer.
+func lastCall(classes []decide.Class) time.Duration {
+	longest := time.Duration(0)
+	for i := range classes {
+		longest = max(longest, classes[i].Deadline)
+	}
+	return min(longest, longestMost) + lastMoment
+}
+
 func span(us int64, usual time.Duration) time.Duration {
 	if us <= 0 {
 		return usual
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -26,6 +26,7 @@
 		"to the end": {"HTTP/1.0 200 OK\r\n\r\n{}", "{}", true, false},
 		"close":      {"HTTP/1.1 503 No\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", "", true, false},
 		"interim":    {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 None\r\n\r\n", "", true, true},
+		"no end":     {strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 9), "", false, false},
 		"cut":        {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}", "", false, false},
 		"no http":    {"SSH-2.0-x\r\n", "", false, false},
 		"length -1":  {"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "", false, false},
--- a/internal/discovery/http.go
+++ b/internal/discovery/http.go
@@ -12,6 +12,7 @@
 const (
 	maxLine    = 8 << 10
 	maxHeaders = 64
+	maxInterim = 4
 	maxBody    = 8 << 20
 )
 
@@ -29,8 +30,17 @@
 	return fmt.Appendf(b, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", target, host)
 }
 
-// readResponse reads one answer, its body whole.
+// readResponse reads one answer, its body whole, and passes over interim ones before it.
 func readResponse(r *bufio.Reader) (*response, error) {
+	for range maxInterim {
+		if resp, err := readOne(r); err != nil || resp.status >= 200 {
+			return resp, err
+		}
+	}
+	return nil, fmt.Errorf("%w: interim answers only", errHTTP)
+}
+
+func readOne(r *bufio.Reader) (*response, error) {
 	line, err := readLine(r)
 	if err != nil {
 		return nil, err
@@ -79,10 +89,10 @@
 			err = fmt.Errorf("%w: body too long", errHTTP)
 		}
 	}
-	if status < 200 && err == nil { // an interim answer: the real one follows
-		return readResponse(r)
+	if err != nil {
+		return nil, err
 	}
-	return resp, err
+	return resp, nil
 }
 
 // readLine reads a line of bounded length, without its end.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,7 +17,7 @@
 	Allowed struct {
 		MaxRetryAfterUs, IdleCloseUs, ConnectTimeoutUs     int64
 		MayCancel, MayDuplicate, Peers, Probes, RetryAfter bool
-		TryLimit, MaxOpen                                  int
+		TryLimit                                           int
 	}
 	ClientHabits   struct{ MarksRetry bool }
 	Discovery      string
