--- a/cmd/reachwind/main.go
+++ b/cmd/reachwind/main.go
@@ -27,13 +27,14 @@
 `
 
 func main() {
-	if err := run(os.Args[1:], os.Stdout, os.Stderr); err != nil {
+	if err := command(os.Args[1:], os.Stdout, os.Stderr); err != nil {
 		fmt.Fprintln(os.Stderr, "reachwind:", err)
 		os.Exit(1)
 	}
 }
 
-func run(args []string, out, errs io.Writer) error {
+// command carries out one command line.
+func command(args []string, out, errs io.Writer) error {
 	flags := pflag.NewFlagSet("reachwind", pflag.ContinueOnError)
 	flags.SetOutput(errs)
 	path := flags.StringP("config", "c", os.Getenv("NODE_CONFIG"), "configuration `file` (NODE_CONFIG)")
@@ -53,7 +54,7 @@
 	if err := least.UnmarshalText([]byte(*level)); err != nil {
 		return fmt.Errorf("log-level: %w", err)
 	}
-	switch command := flags.Arg(0); command {
+	switch name := flags.Arg(0); name {
 	case "serve":
 		c, err := load(*path)
 		if err != nil {
@@ -73,6 +74,6 @@
 		_, _ = fmt.Fprintln(out, "reachwind", version)
 		return nil
 	default:
-		return fmt.Errorf("unknown command %q", command)
+		return fmt.Errorf("unknown command %q", name)
 	}
 }
--- a/cmd/reachwind/main_test.go
+++ b/cmd/reachwind/main_test.go
@@ -1,6 +1,11 @@
 package main
 
 import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -8,6 +13,7 @@
 	"time"
 
 	"reachwind/decide"
+	"reachwind/internal/pgwire"
 )
 
 const good = `{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
@@ -36,7 +42,7 @@
 			t.Fatal(err)
 		}
 		var out, errs strings.Builder
-		err := run([]string{"check", "--config", path}, &out, &errs)
+		err := command([]string{"check", "--config", path}, &out, &errs)
 		if tc.want == "" {
 			if err != nil || !strings.HasPrefix(out.String(), "ok: n1") {
 				t.Errorf("%s: %v, %q", name, err, out.String())
@@ -50,16 +56,71 @@
 func TestCommands(t *testing.T) {
 	for _, args := range [][]string{{}, {"nonsense"}, {"serve", "twice"}, {"--nonsense"}, {"check", "--config", "/nonexistent"},
 		{"version", "--log-level", "odd"}} {
-		if err := run(args, new(strings.Builder), new(strings.Builder)); err == nil {
+		if err := command(args, new(strings.Builder), new(strings.Builder)); err == nil {
 			t.Errorf("%q: no error", args)
 		}
 	}
 	var out strings.Builder
-	if err := run([]string{"version"}, &out, new(strings.Builder)); err != nil || out.String() != "reachwind "+version+"\n" {
+	if err := command([]string{"version"}, &out, new(strings.Builder)); err != nil || out.String() != "reachwind "+version+"\n" {
 		t.Errorf("version: %q, %v", out.String(), err)
 	}
 }
 
+// TestRun: the parts wired together admit a client, refuse at once what no
+// member can serve, with a time to come back, and end when told to.
+func TestRun(t *testing.T) {
+	c, err := parse([]byte(strings.Replace(good, `"settings":{`, `"settings":{"Allowed":{"RetryAfter":true,"MaxRetryAfterUs":70000},`, 1)),
+		func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	term, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- run(term, c, l, slog.New(slog.DiscardHandler)) }()
+	nc, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := pgwire.AppendStartup(nil, "app", "shop")
+	out = pgwire.Append(out, 'Q', "\x00")
+	out = pgwire.Append(out, 'Q', "/* id=1,c=r,d=400,cluster=7 */ SELECT doc FROM items WHERE id = 'k'\x00")
+	if _, err := nc.Write(out); err != nil {
+		t.Fatal(err)
+	}
+	r, got := bufio.NewReader(nc), ""
+	for ready := 0; ready < 3; {
+		head := make([]byte, 5)
+		if _, err := io.ReadFull(r, head); err != nil {
+			t.Fatal(err)
+		}
+		typ, n, _ := pgwire.Header(head)
+		body := make([]byte, n)
+		_, _ = io.ReadFull(r, body)
+		switch typ {
+		case 'Z':
+			ready++
+		case 'E':
+			got += "E" + pgwire.ErrorField(body, 'C') + " " + pgwire.ErrorField(body, 'D')
+		case 'I':
+			got += "I "
+		}
+	}
+	if got != "I E53300 70" {
+		t.Errorf("answers %q", got)
+	}
+	stop()
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Errorf("the idle connection ended with %v", err)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
 // TestLastCall: the gateway is out before SIGKILL may come, 0.7 s past the longest deadline or 3 s.
 func TestLastCall(t *testing.T) {
 	for deadline, kill := range map[time.Duration]time.Duration{time.Second: 1700 * time.Millisecond,
--- a/cmd/reachwind/serve.go
+++ b/cmd/reachwind/serve.go
@@ -49,21 +49,27 @@
 	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	runtime.GOMAXPROCS(1) // a gateway has one core: more threads would only take turns on it
-	memory := int64(freeMemory)
 	if c.memory > 0 {
-		memory = c.memory
-		debug.SetMemoryLimit(int64(softPart * float64(memory)))
-	}
-	router, err := decide.New(*c.decide, c.seed)
-	if err != nil {
-		return err
+		debug.SetMemoryLimit(int64(softPart * float64(c.memory)))
 	}
 	listener, err := net.Listen("tcp", c.listen)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = listener.Close() }()
+	return run(term, c, listener, log)
+}
 
+// run serves listener until term ends.
+func run(term context.Context, c *config, listener net.Listener, log *slog.Logger) error {
+	router, err := decide.New(*c.decide, c.seed)
+	if err != nil {
+		return err
+	}
+	memory := c.memory
+	if memory == 0 {
+		memory = freeMemory
+	}
 	f := c.facts
 	buffers := max(buffersLeast, int(bufferPart*float64(memory))/pgwire.BufSize)
 	bufs := pgwire.NewPool(buffers)
@@ -88,7 +94,7 @@
 	go dir.Run(ctx)
 	failed := make(chan error, 1)
 	go func() { failed <- front.Serve(listener) }()
-	log.Info("serving", "name", c.name, "listen", c.listen, "members", len(c.known), "version", version)
+	log.Info("serving", "name", c.name, "listen", listener.Addr().String(), "members", len(c.known), "version", version)
 
 	select {
 	case err := <-failed:
