Let clients that keep a connection without asking make room for others

Ruled out: members (p50 of what was served stays at 17 ms), CPU (0.12 of a core at most), memory (17 of 48 MB), descriptors (174 of 256). At fault: pgfront.Server.Handle refused whoever came last, for as long as idle clients stayed; conn.startup allowed 10 s of silence and nothing limited the first command. Now at the limit the longest silent, else the longest idle connection of over 2 s ends, the first command must come within 2.5 s of connecting, descriptors for refusals are counted (before: 256 of 256 could be in use), and lines that clients can cause at any rate are logged once a second. A request's time counts from its last byte.

--- a/cmd/reachwind/serve.go
+++ b/cmd/reachwind/serve.go
@@ -26,8 +26,9 @@
 
 	leastSockets  = 64
 	leastMemory   = 32 << 20
-	clientPart    = 0.5   // of the descriptors, for client connections
-	memberPart    = 0.375 // for member connections; the rest is for discovery, the listener and refusals
+	clientPart    = 0.45  // of the descriptors, for client connections
+	sparePart     = 0.06  // for those being ended or refused
+	memberPart    = 0.375 // for member connections; the rest is for discovery, the listener and the runtime
 	bufferPart    = 0.4   // of the memory, for buffers
 	softPart      = 0.8   // of the memory, above which the collector works harder
 	freeMemory    = 512 << 20
@@ -37,7 +38,8 @@
 	idleUsual     = 15 * time.Second
 	graceUsual    = 250 * time.Millisecond
 	longestMost   = 3 * time.Second
-	startWait     = 10 * time.Second
+	startWait     = 2500 * time.Millisecond
+	idleKeep      = 2 * time.Second
 	writeWait     = 5 * time.Second
 	refuseWait    = time.Second
 	buffersLeast  = 16
@@ -84,7 +86,8 @@
 	owner.Connect(pool, dir)
 	owner.List(decide.ListSaved, c.known)
 	front := pgfront.New(owner, pgfront.Config{Classes: c.decide.Classes, Tenants: c.decide.Tenants,
-		Max: int(clientPart * float64(c.sockets)), ComeBack: c.decide.MaxRetryAfter,
+		Max: int(clientPart * float64(c.sockets)), Spare: int(sparePart * float64(c.sockets)),
+		ComeBack: c.decide.MaxRetryAfter, IdleKeep: idleKeep,
 		Keep:      int(bufferReserve * float64(buffers)),
 		StartWait: startWait, WriteWait: writeWait, RefuseWait: refuseWait}, bufs, log)
 
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"strconv"
 	"time"
@@ -33,7 +34,13 @@
 	stopping bool
 	skipping bool // an extended query was refused: skip to its Sync
 	answered []message
-	out      []byte // small answers are put together here
+	out      []byte    // small answers are put together here
+	due      time.Time // the first command must be whole by then; zero once it is
+
+	// Under the server's lock.
+	started   bool      // the startup has come
+	leaving   bool      // told to stop, to make room
+	idleSince time.Time // zero with a command in work
 }
 
 var (
@@ -45,7 +52,8 @@
 )
 
 func newConn(s *Server, nc net.Conn) *conn {
-	return &conn{Conn: wake.New[message](nc, readSize), s: s}
+	now := time.Now()
+	return &conn{Conn: wake.New[message](nc, readSize), s: s, idleSince: now, due: now.Add(s.conf.StartWait)}
 }
 
 // client takes the answer to one request of a connection.
@@ -67,9 +75,13 @@
 	for err == nil {
 		err = c.next()
 	}
-	if errors.Is(err, pgwire.ErrTooLong) || errors.Is(err, errProtocol) || errors.Is(err, errTooSlow) {
-		c.s.log.Info("client broke the protocol", "err", err)
+	switch {
+	case errors.Is(err, pgwire.ErrTooLong), errors.Is(err, errProtocol):
+		c.s.broken.line(c.s.log, slog.LevelInfo, "client broke the protocol", "err", err)
 		c.fatal(pgwire.ProtocolViolation, err.Error(), "")
+	case errors.Is(err, errTooSlow): // it sends nothing, so nothing can cross the word
+		c.s.broken.line(c.s.log, slog.LevelInfo, "client broke the protocol", "err", err)
+		_ = c.write(pgwire.AppendError(c.out[:0], "FATAL", pgwire.ProtocolViolation, err.Error(), ""))
 	}
 	for _, m := range append(c.answered, c.End()...) {
 		if m.answer.Body != nil {
@@ -93,8 +105,17 @@
 	return nil
 }
 
+// patience is how long the next message, or the rest of one, may take to come.
+func (c *conn) patience() time.Duration {
+	if !c.due.IsZero() {
+		return time.Until(c.due)
+	}
+	return c.s.conf.StartWait
+}
+
 // limit bounds the time of a read until stop is called, so that a client that
-// stalls halfway through a message does not keep a buffer.
+// says nothing does not keep a connection, nor one that stalls halfway through a
+// message a buffer.
 func (c *conn) limit(wait time.Duration) (stop func()) {
 	c.reads++
 	read := c.reads
@@ -118,7 +139,7 @@
 
 // startup reads the startup message and welcomes the client.
 func (c *conn) startup() error {
-	wait := c.s.conf.StartWait
+	wait := c.patience()
 	if c.refuse {
 		wait = c.s.conf.RefuseWait
 	}
@@ -169,7 +190,22 @@
 	if c.stopping && c.R.Buffered() == 0 {
 		return errSevered
 	}
-	head, err := c.Peek(5, c.idle)
+	c.s.idle(c)
+	stop := func() {}
+	if !c.due.IsZero() { // guards against clients that connect and never ask
+		stop = c.limit(c.patience())
+	}
+	_, err := c.Peek(1, c.idle)
+	stop()
+	if err != nil {
+		return err
+	}
+	c.s.busy(c)
+	if c.R.Buffered() < 5 {
+		stop = c.limit(c.patience())
+	}
+	head, err := c.Peek(5, c.woken)
+	stop()
 	if err != nil {
 		return err
 	}
@@ -177,10 +213,9 @@
 	if err != nil {
 		return err
 	}
-	came := c.s.core.Now()
 	_, _ = c.R.Discard(5)
 	if typ == 'Q' {
-		return c.query(n, came)
+		return c.query(n)
 	}
 	if err := c.skip(n); err != nil {
 		return err
@@ -209,7 +244,7 @@
 
 // skip passes over n bytes.
 func (c *conn) skip(n int) error {
-	defer c.limit(c.s.conf.StartWait)()
+	defer c.limit(c.patience())()
 	for n > 0 {
 		if _, err := c.Peek(1, c.woken); err != nil {
 			return err
@@ -217,11 +252,12 @@
 		m, _ := c.R.Discard(min(n, c.R.Buffered()))
 		n -= m
 	}
+	c.due = time.Time{}
 	return nil
 }
 
-// query reads a statement of n bytes that began to come at the time came, and answers it.
-func (c *conn) query(n int, came core.Time) error {
+// query reads a statement of n bytes and answers it.
+func (c *conn) query(n int) error {
 	if n < 1 {
 		return fmt.Errorf("%w: query without end", errProtocol)
 	}
@@ -233,13 +269,18 @@
 		return c.full(n)
 	}
 	buf.B = buf.B[:n]
-	stop := c.limit(c.s.conf.StartWait)
+	stop := func() {}
+	if c.R.Buffered() < n {
+		stop = c.limit(c.patience())
+	}
 	err := c.Fill(buf.B, c.woken)
 	stop()
 	if err != nil {
 		buf.Release()
 		return err
 	}
+	c.due = time.Time{}
+	came := c.s.core.Now() // its time counts from its last byte
 	if buf.B[n-1] != 0 {
 		buf.Release()
 		return fmt.Errorf("%w: query without end", errProtocol)
--- a/internal/pgfront/conn_test.go
+++ b/internal/pgfront/conn_test.go
@@ -82,8 +82,8 @@
 	bufs := pgwire.NewPool(buffers)
 	return New(f, Config{
 		Classes: []decide.Class{{Name: "r"}, {Name: "w", Consistency: decide.Write}},
-		Tenants: []decide.Tenant{{Name: "t"}}, Max: most, ComeBack: 500 * time.Millisecond, Keep: 1,
-		StartWait: time.Second, WriteWait: time.Second, RefuseWait: time.Second}, bufs, slog.New(slog.DiscardHandler)), bufs
+		Tenants: []decide.Tenant{{Name: "t"}}, Max: most, Spare: 2, ComeBack: 500 * time.Millisecond, Keep: 1,
+		StartWait: time.Second, IdleKeep: 2 * time.Second, WriteWait: time.Second, RefuseWait: time.Second}, bufs, slog.New(slog.DiscardHandler)), bufs
 }
 
 func query(text string) []byte { return pgwire.Append(nil, 'Q', text, "\x00") }
@@ -108,13 +108,77 @@
 	})
 }
 
+// dial connects a client that writes what is given.
+func dial(s *Server, text []byte) *peer {
+	a, b := net.Pipe()
+	s.Handle(b)
+	p := newPeer(a)
+	p.write <- text
+	synctest.Wait()
+	return p
+}
+
+// TestMakeRoom: at the limit, clients that keep a connection without asking make room: first those that
+// sent nothing, then the one idle longest, but none with a request open or idle for a moment only.
+func TestMakeRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeCore{}
+		s, _ := newServer(f, 3)
+		hello := pgwire.AppendStartup(nil, "app", "shop")
+		ask := append(slices.Clone(hello), query("")...)
+		idle := dial(s, ask)
+		time.Sleep(2 * time.Second)
+		open := dial(s, append(slices.Clone(hello), query(read)...))
+		silent := dial(s, nil)
+		time.Sleep(100 * time.Millisecond)
+		peers := []*peer{idle, open, silent, dial(s, ask)}
+		if !silent.ended || idle.ended {
+			t.Errorf("silent ended %v, idle %v", silent.ended, idle.ended)
+		}
+		peers = append(peers, dial(s, ask))
+		if !idle.ended || open.ended {
+			t.Errorf("idle ended %v, one with a request open %v", idle.ended, open.ended)
+		}
+		last := dial(s, ask)
+		if got := last.replies(t); !slices.Equal(got, []string{"E53300500"}) {
+			t.Errorf("all others in use, yet: %q", got)
+		}
+		for _, p := range append(peers, last) {
+			close(p.write)
+			_ = p.Close()
+		}
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+	})
+}
+
+// TestSilent: a client that never sends a whole command is told so, wherever it stops.
+func TestSilent(t *testing.T) {
+	hello := pgwire.AppendStartup(nil, "app", "shop")
+	for name, text := range map[string][]byte{"nothing": nil, "half a startup": hello[:9], "startup": hello,
+		"half a header": append(slices.Clone(hello), 'Q', 0), "half a command": append(slices.Clone(hello), query(read)[:40]...)} {
+		synctest.Test(t, func(t *testing.T) {
+			s, bufs := newServer(&fakeCore{}, 1)
+			p := dial(s, text)
+			time.Sleep(1100 * time.Millisecond)
+			synctest.Wait()
+			if got := p.replies(t); !p.ended || len(got) == 0 || got[len(got)-1] != "E08P01" || bufs.Free() != buffers {
+				t.Errorf("%s: replies %q, ended %v", name, got, p.ended)
+			}
+			close(p.write)
+			_ = p.Close()
+			synctest.Wait()
+		})
+	}
+}
+
 // TestStartup: what comes in place of a startup message is answered plainly or closed, in time.
 func TestStartup(t *testing.T) {
 	ssl := binary.BigEndian.AppendUint32([]byte{0, 0, 0, 8}, pgwire.SSLRequest)
 	for name, tc := range map[string]struct {
 		in, out string
 	}{
-		"ssl first": {string(ssl) + string(pgwire.AppendStartup(nil, "a", "b")), "NR"},
+		"ssl first": {string(ssl) + string(pgwire.AppendStartup(nil, "a", "b")) + string(query("")), "NR"},
 		"version 2": {"\x00\x00\x00\x08\x00\x02\x00\x00", "E"},
 		"cancel":    {"\x00\x00\x00\x08\x04\xd2\x16\x2e", ""},
 		"too long":  {"\xff\xff\xff\xff", "E"},
@@ -151,7 +215,7 @@
 		a, b := net.Pipe()
 		s.Handle(b)
 		p := newPeer(a)
-		p.write <- pgwire.AppendStartup(nil, "app", "shop")
+		p.write <- append(pgwire.AppendStartup(nil, "app", "shop"), query("")...)
 		synctest.Wait()
 		p.replies(t)
 		time.Sleep(time.Minute) // idle clients may stay
--- a/internal/pgfront/server.go
+++ b/internal/pgfront/server.go
@@ -4,6 +4,7 @@
 package pgfront
 
 import (
+	"context"
 	"errors"
 	"log/slog"
 	"net"
@@ -19,10 +20,12 @@
 type Config struct {
 	Classes    []decide.Class
 	Tenants    []decide.Tenant
-	Max        int           // client connections; more are refused
+	Max        int           // client connections; for more, idle ones are ended
+	Spare      int           // connections above Max, half for those being ended, half for those being refused
 	ComeBack   time.Duration // told to those refused for want of room, 0 = nothing
 	Keep       int           // buffers left to the members when statements take the rest
-	StartWait  time.Duration // the startup, and each message once begun, must have come by then
+	StartWait  time.Duration // the first command, and each message once begun, must have come by then
+	IdleKeep   time.Duration // a connection idle for less is not ended to make room
 	WriteWait  time.Duration // an answer must have been taken by then
 	RefuseWait time.Duration // how long a refused connection may linger
 }
@@ -48,9 +51,12 @@
 	refusing int
 	closing  bool
 	done     sync.WaitGroup
+
+	refused, closed, broken tally
 }
 
-const refuseMost = 32 // connections being refused at once; more are closed without a word
+// silentLeast is how long a connection that has sent no startup is left alone: clients send it at once.
+const silentLeast = 50 * time.Millisecond
 
 // New returns a server that hands its requests to c.
 func New(c Core, conf Config, bufs *pgwire.Pool, log *slog.Logger) *Server {
@@ -81,20 +87,21 @@
 	}
 }
 
-// Handle serves one connection in the background.
+// Handle serves one connection in the background. At the limit the clients that
+// ask once and keep their connection, or never ask, make room for those that ask now.
 func (s *Server) Handle(nc net.Conn) {
 	c := newConn(s, nc)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case len(s.conns) < s.conf.Max:
+	case len(s.conns) < s.conf.Max, len(s.conns) < s.conf.Max+s.conf.Spare/2 && s.makeRoom():
 		s.conns[c] = true
-	case s.refusing < refuseMost:
+	case s.refusing < (s.conf.Spare+1)/2:
 		s.refusing++
 		c.refuse = true
-		s.log.Warn("client refused: too many connections", "open", len(s.conns))
+		s.refused.warn(s.log, "client refused: too many connections", "open", len(s.conns))
 	default:
-		s.log.Warn("client closed: too many connections", "open", len(s.conns))
+		s.closed.warn(s.log, "client closed: too many connections", "open", len(s.conns))
 		_ = nc.Close()
 		return
 	}
@@ -114,6 +121,46 @@
 	}()
 }
 
+// makeRoom ends the connection that has been silent longest without a startup,
+// else the one idle longest, and tells whether there was one. A request that
+// crosses the end is served first, or was not read: its client asks again.
+func (s *Server) makeRoom() bool {
+	var oldest *conn
+	now := time.Now()
+	for c := range s.conns {
+		least := s.conf.IdleKeep
+		if !c.started {
+			least = silentLeast
+		}
+		if c.leaving || c.idleSince.IsZero() || now.Sub(c.idleSince) < least {
+			continue
+		}
+		if oldest == nil || oldest.started && !c.started ||
+			oldest.started == c.started && c.idleSince.Before(oldest.idleSince) {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.leaving = true
+	oldest.Leave(message{stop: true})
+	return true
+}
+
+// idle notes that a connection waits for a command, busy that it has one.
+func (s *Server) idle(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.started, c.idleSince = true, time.Now()
+}
+
+func (s *Server) busy(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.idleSince = time.Time{}
+}
+
 // Shutdown ends connections as they fall idle, answers what was taken, and
 // returns when none is left.
 func (s *Server) Shutdown() {
@@ -125,3 +172,24 @@
 	s.mu.Unlock()
 	s.done.Wait()
 }
+
+// tally logs what clients can cause at any rate: at most once a second, with how often it came.
+type tally struct {
+	mu sync.Mutex
+	at time.Time
+	n  int
+}
+
+func (t *tally) line(log *slog.Logger, level slog.Level, msg string, args ...any) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.n++
+	if now := time.Now(); now.Sub(t.at) >= time.Second {
+		log.Log(context.Background(), level, msg, append(args, "times", t.n)...)
+		t.at, t.n = now, 0
+	}
+}
+
+func (t *tally) warn(log *slog.Logger, msg string, args ...any) {
+	t.line(log, slog.LevelWarn, msg, args...)
+}
