Fail the attempt whose answer is spoilt, and use its connection no more

At fault: pgmember's exchange took CommandComplete alone for served and anything of known framing for part of an answer, and learnt roles and positions from it; the message after ReadyForQuery was read as the next request's answer; pgfront's query took a buffer before the statement had come. Now an answer is RowDescription of one column, one DataRow whose value fills it, CommandComplete, then ReadyForQuery, or an error with a code; all else, or a pause of 100 ms inside one, is Errored: it may have run, its note is not believed, the member is not suspected, the connection is closed. Before a statement is written the socket must hold nothing unread (MSG_PEEK, as a woken read does not look). Dialling that fails for want of descriptors here is no longer held against the member.

--- /dev/null
+++ b/internal/often/often.go
@@ -0,0 +1,36 @@
+// Package often logs what a peer can cause at any rate, so that it costs little
+// and does not drown the rest.
+package often
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+)
+
+const every = time.Second
+
+// Line is one kind of log line. It is written at most once a second, and says
+// how often it came since. Its zero value is ready to use.
+type Line struct {
+	mu    sync.Mutex
+	at    time.Time
+	times int
+}
+
+// Warn logs a warning.
+func (l *Line) Warn(log *slog.Logger, msg string, args ...any) { l.log(log, slog.LevelWarn, msg, args) }
+
+// Info logs something usual.
+func (l *Line) Info(log *slog.Logger, msg string, args ...any) { l.log(log, slog.LevelInfo, msg, args) }
+
+func (l *Line) log(log *slog.Logger, level slog.Level, msg string, args []any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.times++
+	if now := time.Now(); now.Sub(l.at) >= every {
+		log.Log(context.Background(), level, msg, append(args, "times", l.times)...)
+		l.at, l.times = now, 0
+	}
+}
--- /dev/null
+++ b/internal/often/often_test.go
@@ -0,0 +1,25 @@
+package often
+
+import (
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestLine: a flood makes one line a second, and none of it goes uncounted.
+func TestLine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out strings.Builder
+		log, l := slog.New(slog.NewTextHandler(&out, nil)), new(Line)
+		for range 1000 {
+			l.Warn(log, "flood")
+		}
+		time.Sleep(time.Second)
+		l.Warn(log, "flood")
+		if s := out.String(); strings.Count(s, "\n") != 2 || !strings.Contains(s, "times=1\n") || !strings.Contains(s, "times=1000\n") {
+			t.Errorf("logged %q", s)
+		}
+	})
+}
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"strconv"
 	"time"
@@ -77,10 +76,10 @@
 	}
 	switch {
 	case errors.Is(err, pgwire.ErrTooLong), errors.Is(err, errProtocol):
-		c.s.broken.line(c.s.log, slog.LevelInfo, "client broke the protocol", "err", err)
+		c.s.broken.Info(c.s.log, "client broke the protocol", "err", err)
 		c.fatal(pgwire.ProtocolViolation, err.Error(), "")
 	case errors.Is(err, errTooSlow): // it sends nothing, so nothing can cross the word
-		c.s.broken.line(c.s.log, slog.LevelInfo, "client broke the protocol", "err", err)
+		c.s.broken.Info(c.s.log, "client broke the protocol", "err", err)
 		_ = c.write(pgwire.AppendError(c.out[:0], "FATAL", pgwire.ProtocolViolation, err.Error(), ""))
 	}
 	for _, m := range append(c.answered, c.End()...) {
@@ -261,24 +260,18 @@
 	if n < 1 {
 		return fmt.Errorf("%w: query without end", errProtocol)
 	}
-	if c.s.bufs.Free() <= c.s.conf.Keep {
-		return c.full(n)
-	}
-	buf := c.s.bufs.Get()
-	if buf == nil {
-		return c.full(n)
-	}
-	buf.B = buf.B[:n]
 	stop := func() {}
 	if c.R.Buffered() < n {
 		stop = c.limit(c.patience())
 	}
-	err := c.Fill(buf.B, c.woken)
+	buf, err := c.text(n)
 	stop()
 	if err != nil {
-		buf.Release()
 		return err
 	}
+	if buf == nil {
+		return c.full(n)
+	}
 	c.due = time.Time{}
 	came := c.s.core.Now() // its time counts from its last byte
 	if buf.B[n-1] != 0 {
@@ -308,12 +301,34 @@
 	return c.answer(m.answer)
 }
 
+// text reads the n bytes of a query into a buffer; there may be none left for it.
+func (c *conn) text(n int) (*pgwire.Buf, error) {
+	if n <= c.R.Size() { // guards against clients that send half a statement and so keep a buffer
+		if _, err := c.Peek(n, c.woken); err != nil {
+			return nil, err
+		}
+	}
+	if c.s.bufs.Free() <= c.s.conf.Keep {
+		return nil, nil
+	}
+	buf := c.s.bufs.Get()
+	if buf == nil {
+		return nil, nil
+	}
+	buf.B = buf.B[:n]
+	if err := c.Fill(buf.B, c.woken); err != nil {
+		buf.Release()
+		return nil, err
+	}
+	return buf, nil
+}
+
 // full refuses a query that there is no buffer for.
 func (c *conn) full(n int) error {
 	if err := c.skip(n); err != nil {
 		return err
 	}
-	c.s.log.Warn("request refused: out of buffers")
+	c.s.full.Warn(c.s.log, "request refused: out of buffers")
 	c.out = pgwire.AppendError(c.out[:0], "ERROR", pgwire.TooManyConnections, "too many requests", c.comeBack())
 	return c.write(pgwire.AppendReady(c.out))
 }
--- a/internal/pgfront/server.go
+++ b/internal/pgfront/server.go
@@ -4,7 +4,6 @@
 package pgfront
 
 import (
-	"context"
 	"errors"
 	"log/slog"
 	"net"
@@ -13,6 +12,7 @@
 
 	"reachwind/decide"
 	"reachwind/internal/core"
+	"reachwind/internal/often"
 	"reachwind/internal/pgwire"
 )
 
@@ -52,7 +52,7 @@
 	closing  bool
 	done     sync.WaitGroup
 
-	refused, closed, broken tally
+	refused, closed, broken, full often.Line
 }
 
 // silentLeast is how long a connection that has sent no startup is left alone: clients send it at once.
@@ -99,9 +99,9 @@
 	case s.refusing < (s.conf.Spare+1)/2:
 		s.refusing++
 		c.refuse = true
-		s.refused.warn(s.log, "client refused: too many connections", "open", len(s.conns))
+		s.refused.Warn(s.log, "client refused: too many connections", "open", len(s.conns))
 	default:
-		s.closed.warn(s.log, "client closed: too many connections", "open", len(s.conns))
+		s.closed.Warn(s.log, "client closed: too many connections", "open", len(s.conns))
 		_ = nc.Close()
 		return
 	}
@@ -172,24 +172,3 @@
 	s.mu.Unlock()
 	s.done.Wait()
 }
-
-// tally logs what clients can cause at any rate: at most once a second, with how often it came.
-type tally struct {
-	mu sync.Mutex
-	at time.Time
-	n  int
-}
-
-func (t *tally) line(log *slog.Logger, level slog.Level, msg string, args ...any) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.n++
-	if now := time.Now(); now.Sub(t.at) >= time.Second {
-		log.Log(context.Background(), level, msg, append(args, "times", t.n)...)
-		t.at, t.n = now, 0
-	}
-}
-
-func (t *tally) warn(log *slog.Logger, msg string, args ...any) {
-	t.line(log, slog.LevelWarn, msg, args...)
-}
--- a/internal/pgmember/conn.go
+++ b/internal/pgmember/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"reachwind/decide"
@@ -23,13 +24,19 @@
 	return new(net.Dialer).DialContext(ctx, "tcp", addr)
 }
 
-const readSize = 4 << 10
+const (
+	readSize    = 4 << 10
+	answerParts = 64                     // messages in one answer
+	stallWait   = 100 * time.Millisecond // a member that pauses for so long within an answer won't end it
+)
 
-// order is a message to a connection: run job, stop it, or with no job close.
+// order is a message to a connection: run job, stop it, look for a stall in
+// its answer, or with no job close.
 type order struct {
-	job  *job
-	stop bool
-	why  decide.Result
+	job   *job
+	stop  bool
+	stall bool
+	why   decide.Result
 }
 
 // conn is one connection. Its goroutine runs serve; the pool's fields are m and since.
@@ -46,6 +53,8 @@
 var (
 	errStopped = errors.New("stopped")
 	errClosed  = errors.New("closed")
+	errStalled = errors.New("answer stalled")
+	errSpoilt  = errors.New("answer out of order")
 )
 
 func newConn(p *Pool, m *member) *conn { return &conn{p: p, m: m, addr: m.addr} }
@@ -81,7 +90,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), c.p.conf.Connect)
 	defer cancel()
 	nc, err := c.p.dial(ctx, c.addr)
-	if err != nil {
+	switch {
+	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.EADDRNOTAVAIL):
+		return decide.NotSent, err // for want of something here: no fault of the member's
+	case err != nil:
 		return decide.Unreachable, err
 	}
 	c.Conn = wake.New[order](nc, readSize)
@@ -97,6 +109,9 @@
 	if a.code != "" {
 		return outcomeOf(&a), errors.New("turned away: " + a.code)
 	}
+	if c.R.Buffered() > 0 {
+		return decide.Unreachable, errSpoilt
+	}
 	return 0, nc.SetDeadline(time.Time{})
 }
 
@@ -113,6 +128,7 @@
 					orders = append(orders, order{job: job})
 				}
 				return append(c.End(), orders[i:]...)
+			case o.stall: // of an answer that has ended since
 			case !o.stop:
 				job = o.job
 			case o.job == job: // stopped before its first byte
@@ -121,6 +137,11 @@
 			}
 		}
 		if job != nil {
+			if !c.Quiet() {
+				// What has come belongs to no request, and would be taken for this one's answer; or the member
+				// has closed. The job begins anew on another connection.
+				return append(c.End(), order{job: job})
+			}
 			j := job
 			job = nil
 			if !c.run(j) {
@@ -159,7 +180,7 @@
 	} else {
 		buf.Release()
 	}
-	if a.ready {
+	if a.ready && c.R.Buffered() == 0 { // else more came than belongs to the answer
 		c.done(j, o)
 		return true
 	}
@@ -195,23 +216,31 @@
 		return core.Outcome{Result: decide.Unreachable}
 	}
 	why := decide.Reset
+	a.job = j
 	err := c.read(a, func() error {
 		for _, o := range c.Take() {
-			if o.job == nil {
+			switch {
+			case o.job == nil:
 				return errClosed
-			}
-			if o.job == j && o.stop {
+			case o.job != j:
+			case o.stop:
 				why = o.why
 				return errStopped
+			case o.stall && c.Quiet():
+				return errStalled
+			case o.stall:
+				a.watched = false
 			}
 		}
 		return nil
 	})
 	switch {
+	case errors.Is(err, pgwire.ErrTooLong), errors.Is(err, pgwire.ErrMalformed), errors.Is(err, errSpoilt), errors.Is(err, errStalled):
+		// The member has run it, and is there: but for this answer nothing is amiss. Nor is what it tells believed.
+		c.p.spoilt.Warn(c.p.log, "answer spoilt", "member", c.m.id, "err", err)
+		return core.Outcome{Result: decide.Errored}
 	case a.code != "" || a.complete:
 		o.Result = outcomeOf(a)
-	case err == nil:
-		o.Result = decide.Errored // an answer without row or error
 	default:
 		o.Result = why
 	}
@@ -248,21 +277,30 @@
 
 // answer is what came back so far.
 type answer struct {
-	buf      *pgwire.Buf // takes RowDescription, DataRow and CommandComplete as they are; nil to skip them
-	row      []byte      // the first column of the last DataRow, within buf
-	complete bool        // CommandComplete came
-	code     string      // of an ErrorResponse
-	ready    bool        // ReadyForQuery came
+	buf     *pgwire.Buf // takes RowDescription, DataRow and CommandComplete as they are; nil at the startup
+	job     *job        // that it answers
+	watched bool        // a stall will be noticed
+	row     []byte      // the value, within buf
+	described,
+	complete bool // RowDescription, CommandComplete came
+	code     string // of an ErrorResponse
+	ready    bool   // ReadyForQuery came
 	role     decide.Role
 	stamped  bool
 	position core.Time
 	report   decide.Report
 }
 
-// read reads messages through ReadyForQuery.
+// read reads messages through ReadyForQuery. What is not exactly one answer
+// ends it: a member that writes noise must not be believed in any part of it.
 func (c *conn) read(a *answer, woken func() error) error {
 	var small [1 << 10]byte
-	for {
+	for n := range answerParts {
+		if n > 0 {
+			c.watch(a, 5)
+		} else if _, err := c.Peek(1, woken); err != nil { // the member may take its time until here
+			return err
+		}
 		head, err := c.Peek(5, woken)
 		if err != nil {
 			return err
@@ -273,39 +311,68 @@
 		}
 		body := small[:]
 		keep := a.buf != nil && (typ == 'T' || typ == 'D' || typ == 'C')
-		if keep {
-			if len(a.buf.B)+5+n > cap(a.buf.B) {
+		switch {
+		case keep:
+			if len(a.buf.B)+5+n+len(readyForQuery) > cap(a.buf.B) {
 				return pgwire.ErrTooLong
 			}
 			at := len(a.buf.B)
 			a.buf.B = append(a.buf.B, head...)[:at+5+n]
 			body = a.buf.B[at+5:]
-		} else if n > len(body) {
+		case n > pgwire.MaxSmall:
+			return pgwire.ErrTooLong
+		case n > len(body):
 			body = make([]byte, n) // rare: a long error or parameter
-		} else {
+		default:
 			body = body[:n]
 		}
 		_, _ = c.R.Discard(5)
+		c.watch(a, n)
 		if err := c.Fill(body, woken); err != nil {
 			return err
 		}
-		switch typ {
-		case 'D':
-			a.row = pgwire.Column(body)
-		case 'C':
-			a.complete = true
-		case 'E':
-			a.code = pgwire.ErrorField(body, 'C')
-			if a.code == "" {
-				a.code = pgwire.SystemError
-			}
-		case 'S':
-			c.status(a, body)
-		case 'Z':
-			a.ready = true
-			return nil
+		if err := c.take(a, typ, body); err != nil || a.ready {
+			return err
 		}
 	}
+	return errSpoilt
+}
+
+const readyForQuery = "Z\x00\x00\x00\x05I"
+
+// watch has a member noticed that stalls before the next n bytes of an answer it has begun.
+func (c *conn) watch(a *answer, n int) {
+	if a.job == nil || a.watched || c.R.Buffered() >= n {
+		return
+	}
+	a.watched = true
+	j := a.job
+	time.AfterFunc(stallWait, func() { c.Leave(order{job: j, stall: true}) })
+}
+
+// take takes one message of an answer: RowDescription, DataRow and
+// CommandComplete in this order, or an ErrorResponse; then ReadyForQuery.
+func (c *conn) take(a *answer, typ byte, body []byte) (err error) {
+	over := a.complete || a.code != ""
+	switch {
+	case typ == 'S':
+		c.status(a, body)
+	case typ == 'N':
+	case typ == 'Z' && len(body) == 1 && (over || a.buf == nil):
+		a.ready = true
+	case typ == 'E' && !over:
+		a.code, err = pgwire.ErrorCode(body)
+	case a.buf == nil && (typ == 'R' || typ == 'K'):
+	case typ == 'T' && !over && !a.described:
+		a.described, err = true, pgwire.OneColumn(body)
+	case typ == 'D' && !over && a.described && a.row == nil:
+		a.row, err = pgwire.Column(body)
+	case typ == 'C' && !over && a.row != nil:
+		a.complete, err = true, pgwire.Tag(body)
+	default:
+		err = errSpoilt
+	}
+	return err
 }
 
 // status takes a ParameterStatus.
--- a/internal/pgmember/pool.go
+++ b/internal/pgmember/pool.go
@@ -11,6 +11,7 @@
 
 	"reachwind/decide"
 	"reachwind/internal/core"
+	"reachwind/internal/often"
 	"reachwind/internal/pgwire"
 )
 
@@ -42,6 +43,8 @@
 	members map[string]*member
 	open    int // connections, those being made included
 	jobs    map[*core.Attempt]*job
+
+	spoilt, failing, short often.Line
 }
 
 // member is what the pool knows of one member.
@@ -187,7 +190,7 @@
 func (p *Pool) make(m *member) {
 	for m.making < len(m.waiting) {
 		if p.open >= p.conf.Max && !p.evict() {
-			p.log.Warn("out of member connections", "open", p.open, "member", m.id)
+			p.short.Warn(p.log, "out of member connections", "open", p.open, "member", m.id)
 			p.finish(m.waiting[len(m.waiting)-1], core.Outcome{Result: decide.NotSent})
 			continue
 		}
@@ -280,7 +283,7 @@
 	m.busy = slices.DeleteFunc(m.busy, same)
 	m.idle = slices.DeleteFunc(m.idle, same)
 	for _, o := range left {
-		if o.job == nil || o.stop || o.job.c != c {
+		if o.job == nil || o.stop || o.stall || o.job.c != c {
 			continue
 		}
 		o.job.c = nil
@@ -299,7 +302,7 @@
 	m := c.m
 	m.making--
 	p.open--
-	p.log.Info("member connect failed", "member", m.id, "result", int(result), "err", err)
+	p.failing.Info(p.log, "member connect failed", "member", m.id, "result", int(result), "err", err)
 	for len(m.waiting) > m.making {
 		p.finish(m.waiting[0], core.Outcome{Result: result})
 	}
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 )
 
 // Requests that stand in place of a startup message's version.
@@ -37,8 +38,15 @@
 	MaxMessage = BufSize - 64 // room for a frame around the statement
 )
 
-// ErrTooLong says that a message announces an impossible length.
-var ErrTooLong = errors.New("message of impossible length")
+// MaxSmall bounds a message that carries no value: errors, parameters and the like.
+const MaxSmall = 8 << 10
+
+// ErrTooLong says that a message announces an impossible length, ErrMalformed
+// that a message is not what its type says.
+var (
+	ErrTooLong   = errors.New("message of impossible length")
+	ErrMalformed = errors.New("malformed message")
+)
 
 // Header splits the five bytes before a message's body into type and body length.
 func Header(h []byte) (typ byte, n int, err error) {
@@ -118,16 +126,39 @@
 	return string(n), string(v)
 }
 
-// Column returns the first column of a DataRow's body, nil if there is none or it is null.
-func Column(body []byte) []byte {
-	if len(body) < 6 || binary.BigEndian.Uint16(body) == 0 {
-		return nil
+// OneColumn checks a RowDescription's body: one column, and nothing else.
+func OneColumn(body []byte) error {
+	const after = 18 // bytes of numbers after a column's name
+	if len(body) < 2 || binary.BigEndian.Uint16(body) != 1 || bytes.IndexByte(body[2:], 0)+1+after != len(body)-2 {
+		return fmt.Errorf("%w: row description", ErrMalformed)
 	}
-	n := int64(int32(binary.BigEndian.Uint32(body[2:])))
-	if n < 0 || n > int64(len(body)-6) {
-		return nil
+	return nil
+}
+
+// Column returns the value in a DataRow's body, which must hold one that is not null, and nothing else.
+func Column(body []byte) ([]byte, error) {
+	if len(body) < 6 || binary.BigEndian.Uint16(body) != 1 || int64(binary.BigEndian.Uint32(body[2:])) != int64(len(body)-6) {
+		return nil, fmt.Errorf("%w: row", ErrMalformed)
+	}
+	return body[6:], nil
+}
+
+// Tag checks a CommandComplete's body: a line of text.
+func Tag(body []byte) error {
+	n := len(body) - 1
+	if n < 1 || body[n] != 0 || bytes.ContainsFunc(body[:n], func(r rune) bool { return r < ' ' || r > '~' }) {
+		return fmt.Errorf("%w: command tag", ErrMalformed)
+	}
+	return nil
+}
+
+// ErrorCode returns the code of an ErrorResponse's body, which must hold one.
+func ErrorCode(body []byte) (string, error) {
+	code := ErrorField(body, 'C')
+	if len(code) != 5 || strings.ContainsFunc(code, func(r rune) bool { return (r < '0' || r > '9') && (r < 'A' || r > 'Z') }) {
+		return "", fmt.Errorf("%w: error", ErrMalformed)
 	}
-	return body[6 : 6+n]
+	return code, nil
 }
 
 // Pairs calls each for every name=value of a load report.
--- a/internal/wake/wake.go
+++ b/internal/wake/wake.go
@@ -12,6 +12,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -67,6 +68,28 @@
 	return true
 }
 
+// Quiet tells that nothing has come that was not read, neither bytes nor the
+// peer's end. It looks past a read deadline, which hides both. A connection that
+// is no socket counts as quiet once R holds nothing.
+func (w *Conn[M]) Quiet() bool {
+	if w.R.Buffered() > 0 {
+		return false
+	}
+	sc, ok := w.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var got error
+	err = raw.Control(func(fd uintptr) {
+		_, _, got = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && got == syscall.EAGAIN
+}
+
 // Wait returns when the mailbox holds a message, without reading.
 func (w *Conn[M]) Wait() {
 	w.mu.Lock()
--- a/internal/wake/wake_test.go
+++ b/internal/wake/wake_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
 	"testing"
 	"testing/synctest"
 )
@@ -82,3 +83,33 @@
 		_, _ = w.End(), b.Close()
 	})
 }
+
+// TestQuiet: what came unread shows even while a read deadline hides it.
+func TestQuiet(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	for _, text := range []string{"", "x"} {
+		a, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		w := New[int](a, 64)
+		if !w.Quiet() {
+			t.Error("not quiet, though nothing came")
+		}
+		w.Leave(1)
+		_, _ = b.Write([]byte(text)) // a close counts as well
+		_ = b.Close()
+		for w.Quiet() { // the loopback takes a moment; the test's own limit ends a wait for nothing
+			runtime.Gosched()
+		}
+		_ = w.End()
+	}
+}
