Reread the configuration on SIGHUP and move to the discovery it names

At fault: cmd/reachwind never asked for the signal, whose default ends a program; discovery.Client held one address for good. Now serve takes SIGHUP from its first line to the process's end and reads the file; discovery leaves the old address at once (its call ends untold) and asks the new one for the whole list, then for changes. An unusable file is logged in one line and changes nothing. Also: get's AfterFunc read c.conn while it could be cleared.

--- a/cmd/reachwind/main.go
+++ b/cmd/reachwind/main.go
@@ -62,7 +62,7 @@
 		}
 		logs := newLogWriter(errs)
 		defer logs.flush()
-		return serve(c, slog.New(slog.NewTextHandler(logs, &slog.HandlerOptions{Level: least})))
+		return serve(c, *path, slog.New(slog.NewTextHandler(logs, &slog.HandlerOptions{Level: least})))
 	case "check":
 		c, err := load(*path)
 		if err == nil {
--- a/cmd/reachwind/main_test.go
+++ b/cmd/reachwind/main_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -80,7 +81,7 @@
 	}
 	term, stop := context.WithCancel(t.Context())
 	done := make(chan error, 1)
-	go func() { done <- run(term, c, l, slog.New(slog.DiscardHandler)) }()
+	go func() { done <- run(term, nil, c, "", l, slog.New(slog.DiscardHandler)) }()
 	nc, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -121,6 +122,82 @@
 	}
 }
 
+// TestReload: SIGHUP moves to the discovery that the file names now, keeps what it has when the file is bad,
+// and ends nothing, in the wind-down neither.
+func TestReload(t *testing.T) {
+	t.Setenv("NODE_DISCOVERY", "")
+	path := filepath.Join(t.TempDir(), "c.json")
+	called := make(chan int)
+	discovery := func(n int) string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_ = c.Close() // the call fails, and comes again
+				select {
+				case called <- n:
+				case <-t.Context().Done():
+				}
+			}
+		}()
+		return strings.Replace(good, "127.0.0.1:1", l.Addr().String(), 1)
+	}
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	first, second := discovery(1), discovery(2)
+	write(strings.Replace(first, `"Instances":1,`, `"Instances":1,"Discovery":"ask",`, 1))
+	logs := make(chan string, 100)
+	log := slog.New(slog.NewTextHandler(writerFunc(func(p []byte) (int, error) {
+		if s := string(p); strings.Contains(s, "reload") || strings.Contains(s, "stopping") {
+			logs <- s
+		}
+		return len(p), nil
+	}), nil))
+	c, err := load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- serve(c, path, log) }()
+	signal := func(s syscall.Signal) { // to the test's own process, which SIGHUP would end
+		if err := syscall.Kill(os.Getpid(), s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := <-called; n != 1 {
+		t.Errorf("discovery %d called at the start", n)
+	}
+	write(second[:len(second)-9])
+	signal(syscall.SIGHUP)
+	if s := <-logs; !strings.Contains(s, "reload failed") || strings.Count(s, "\n") != 1 {
+		t.Errorf("logged %q", s)
+	}
+	write(second)
+	signal(syscall.SIGHUP)
+	for n := <-called; n != 2; n = <-called { // the old address may have been called before
+	}
+	<-logs
+	signal(syscall.SIGTERM)
+	<-logs
+	signal(syscall.SIGHUP)
+	if s := <-logs; !strings.Contains(s, "reloaded") {
+		t.Errorf("logged %q", s)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
 // TestLastCall: the gateway is out before SIGKILL may come, 0.7 s past the longest deadline or 3 s.
 func TestLastCall(t *testing.T) {
 	for deadline, kill := range map[time.Duration]time.Duration{time.Second: 1700 * time.Millisecond,
--- a/cmd/reachwind/serve.go
+++ b/cmd/reachwind/serve.go
@@ -46,8 +46,11 @@
 	bufferReserve = 0.25 // of the buffers, for the members' answers
 )
 
-// serve runs the gateway until SIGTERM or SIGINT, then winds it down.
-func serve(c *config, log *slog.Logger) error {
+// serve runs the gateway until SIGTERM or SIGINT, then winds it down. SIGHUP has
+// it read the configuration at path again; until the very end, as it would end the program.
+func serve(c *config, path string, log *slog.Logger) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	runtime.GOMAXPROCS(1) // a gateway has one core: more threads would only take turns on it
@@ -59,11 +62,23 @@
 		return err
 	}
 	defer func() { _ = listener.Close() }()
-	return run(term, c, listener, log)
+	return run(term, hup, c, path, listener, log)
+}
+
+// reload takes from the configuration what may change while the gateway runs.
+// A file that cannot be used changes nothing.
+func reload(path string, dir *discovery.Client, log *slog.Logger) {
+	c, err := load(path)
+	if err != nil {
+		log.Error("reload failed, the old configuration holds", "err", err)
+		return
+	}
+	log.Info("reloaded", "discovery", c.discovery)
+	dir.Move(c.discovery)
 }
 
 // run serves listener until term ends.
-func run(term context.Context, c *config, listener net.Listener, log *slog.Logger) error {
+func run(term context.Context, hup <-chan os.Signal, c *config, path string, listener net.Listener, log *slog.Logger) error {
 	router, err := decide.New(*c.decide, c.seed)
 	if err != nil {
 		return err
@@ -95,6 +110,16 @@
 	defer cancel()
 	go owner.Run(ctx)
 	go dir.Run(ctx)
+	go func() {
+		for {
+			select {
+			case <-hup:
+				reload(path, dir, log)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
 	failed := make(chan error, 1)
 	go func() { failed <- front.Serve(listener) }()
 	log.Info("serving", "name", c.name, "listen", listener.Addr().String(), "members", len(c.known), "version", version)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"sync"
 	"time"
 
 	"reachwind/decide"
@@ -62,24 +63,29 @@
 // Sink takes what discovery says.
 type Sink func(kind decide.EventKind, members []core.Listed)
 
-// Client asks discovery. Watch and Fetch only leave word for Run.
+// Client asks discovery. Watch, Fetch and Move only leave word for Run.
 type Client struct {
-	addr    string
 	version int64
 	sink    Sink
 	log     *slog.Logger
 	dial    func(ctx context.Context, addr string) (net.Conn, error)
 	watch   chan struct{}
 	fetch   chan struct{}
+	move    chan struct{}
 
+	mu      sync.Mutex
+	next    string // the address for the next call
+	abandon func() // ends the call that is on
+
+	addr string   // of the call that is on
 	conn net.Conn // kept for the next call
 	r    *bufio.Reader
 }
 
 // New returns a client that holds the list of the given version.
 func New(addr string, version int64, sink Sink, dial func(context.Context, string) (net.Conn, error), log *slog.Logger) *Client {
-	return &Client{addr: addr, version: version, sink: sink, dial: dial, log: log,
-		watch: make(chan struct{}, 1), fetch: make(chan struct{}, 1)}
+	return &Client{next: addr, version: version, sink: sink, dial: dial, log: log,
+		watch: make(chan struct{}, 1), fetch: make(chan struct{}, 1), move: make(chan struct{}, 1)}
 }
 
 // Watch asks for changes from now on. While a watch is on it does nothing.
@@ -88,6 +94,21 @@
 // Fetch asks for the whole list once. A watch that is on brings all changes by itself.
 func (c *Client) Fetch() { leave(c.fetch) }
 
+// Move leaves the old address at once and asks at addr from now on: first for
+// the whole list, as the versions of two services need not agree, then for changes.
+func (c *Client) Move(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if addr == c.next {
+		return
+	}
+	c.next = addr
+	leave(c.move)
+	if c.abandon != nil {
+		c.abandon()
+	}
+}
+
 func leave(ch chan struct{}) {
 	select {
 	case ch <- struct{}{}:
@@ -106,13 +127,18 @@
 			c.call(ctx, path, 0)
 		case <-c.watch:
 			c.follow(ctx)
+		case <-c.move:
+			c.hangUp()
+			if c.call(ctx, path, 0) {
+				c.follow(ctx)
+			}
 		}
 	}
 }
 
-// follow watches until a call fails. The first call does not wait, so that what
-// was missed is told at once; each next one follows the last answer directly,
-// which keeps the watch unbroken.
+// follow watches until a call fails or the address changes. The first call does
+// not wait, so that what was missed is told at once; each next one follows the
+// last answer directly, which keeps the watch unbroken.
 func (c *Client) follow(ctx context.Context) {
 	for wait := time.Duration(0); ctx.Err() == nil; wait = longWait {
 		if !c.call(ctx, fmt.Sprintf("%s?index=%d&wait=%d", path, c.version, wait.Milliseconds()), wait) {
@@ -125,19 +151,36 @@
 	}
 }
 
+// begin returns a context for one call, which Move ends.
+func (c *Client) begin(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.next != c.addr {
+		c.hangUp()
+		c.addr = c.next
+	}
+	c.abandon = cancel
+	return ctx, cancel
+}
+
 // call makes one call and passes on its list, or that it failed.
 func (c *Client) call(ctx context.Context, target string, wait time.Duration) bool {
+	ctx, done := c.begin(ctx)
+	defer done()
 	list, err := c.get(ctx, target, wait)
 	var members []core.Listed
 	if err == nil {
 		members, err = list.Members()
 	}
+	if ctx.Err() != nil { // moved, or over: what the old address says counts no more
+		c.hangUp()
+		return false
+	}
 	if err != nil {
 		c.hangUp()
-		if ctx.Err() == nil {
-			c.log.Warn("discovery failed", "call", target, "err", err)
-			c.sink(decide.ListError, nil)
-		}
+		c.log.Warn("discovery failed", "call", target, "err", err)
+		c.sink(decide.ListError, nil)
 		return false
 	}
 	c.version = list.Generation
@@ -163,9 +206,10 @@
 		}
 		c.conn, c.r = conn, bufio.NewReader(conn)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
+	conn := c.conn // the field may be cleared while the function runs
+	_ = conn.SetDeadline(time.Now().Add(wait + slack))
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	_ = c.conn.SetDeadline(time.Now().Add(wait + slack))
 	if _, err := c.conn.Write(appendGet(nil, c.addr, target)); err != nil {
 		return nil, err
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -119,3 +120,59 @@
 		synctest.Wait()
 	})
 }
+
+// TestMove: at a new address the old one's call ends at once and untold, its connection closes, and the
+// whole list is asked for before the changes; a watch that is on goes on there.
+func TestMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		var calls, told []string
+		note := func(list *[]string, s string) {
+			mu.Lock()
+			defer mu.Unlock()
+			*list = append(*list, s)
+		}
+		dial := func(_ context.Context, addr string) (net.Conn, error) {
+			a, b := net.Pipe()
+			go func() {
+				r := bufio.NewReader(b)
+				for {
+					line, err := r.ReadString('\n')
+					if err != nil {
+						note(&calls, addr+" closed")
+						return
+					}
+					for rest := "x"; strings.TrimSpace(rest) != ""; {
+						rest, _ = r.ReadString('\n')
+					}
+					call := strings.TrimPrefix(strings.Fields(line)[1], path)
+					note(&calls, addr+call)
+					if !strings.HasSuffix(call, "wait=20000") {
+						text := `{"generation":3,"reset":true,"instances":[]}`
+						_, _ = fmt.Fprintf(b, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+					}
+				}
+			}()
+			return a, nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		c := New("old", 7, func(kind decide.EventKind, _ []core.Listed) { note(&told, fmt.Sprint(kind)) }, dial,
+			slog.New(slog.DiscardHandler))
+		go c.Run(ctx)
+		c.Watch()
+		synctest.Wait()
+		c.Move("old") // no change
+		c.Move("new")
+		synctest.Wait()
+		mu.Lock()
+		got := strings.Join(calls, " ") + "|" + strings.Join(told, " ")
+		mu.Unlock()
+		full := fmt.Sprint(decide.ListFull)
+		if want := "old?index=7&wait=0 old?index=3&wait=20000 old closed new new?index=3&wait=0 new?index=3&wait=20000|" +
+			full + " " + full + " " + full; got != want {
+			t.Errorf("got %s, want %s", got, want)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
