--- a/decide/decide.go
+++ b/decide/decide.go
@@ -510,8 +510,8 @@
 	m.erredAt = r.now
 }
 
-// errs tells that m mostly errs. Errors come fast: such a member has little outstanding, and SELF would send it
-// all there is.
+// errs tells that m mostly errs. Errors come fast: such a member has little outstanding, and SELF would send
+// it all there is.
 func (r *Router) errs(m *member) bool {
 	return m.errors*min(1, float64(stretchFade)/float64(max(1, r.now-m.erredAt))) > errsMost
 }
@@ -703,8 +703,8 @@
 }
 
 // late tells that the answer to a should long have come: the member has answered what was sent there later,
-// or many are late these days. Answers that came tell what is usual: overload makes them all late. A request's
-// later attempts have more patience, as it may be the work that is long.
+// or many are late these days. Answers that came tell what is usual: overload makes them all late. Later
+// attempts of a request have more patience, as it may be the work that is long.
 func (r *Router) late(a *attempt) bool {
 	usual := a.cost * a.m.quick * float64(a.no+1)
 	return (a.passed >= lostPassed || r.lossy > lossyLeast) && float64(r.now-a.sent) > lostTimes*usual
