End unusable statements at once, and bound the tables of members and sessions

Checked: a log of failed attempts with their statements; runtime.MemStats every 5 s: the heap's aim rose from 8 to 19 MB with the buffers made, of which few pages are used, goroutines and stacks stood still. At fault: pgwire.Parse did not ask for id or cluster, took bytes that are no text and names given twice; outcomeOf made every unknown code Errored, so decide tried on; decide.members, Pool.members and group.sessions only grew; d was bounded by 60 s only.

--- a/cmd/reachwind/serve.go
+++ b/cmd/reachwind/serve.go
@@ -31,6 +31,7 @@
 	memberPart    = 0.375 // for member connections; the rest is for discovery, the listener and the runtime
 	bufferPart    = 0.4   // of the memory, for buffers
 	softPart      = 0.8   // of the memory, above which the collector works harder
+	garbagePart   = 25    // per cent of what is in use: buffers are most of that, and garbage may grow with it
 	freeMemory    = 512 << 20
 	acceptAfter   = 500 * time.Millisecond // clients keep coming for 0.4 s after SIGTERM
 	lastMoment    = 600 * time.Millisecond // past the longest deadline; SIGKILL may come 0.1 s later
@@ -56,6 +57,7 @@
 	runtime.GOMAXPROCS(1) // a gateway has one core: more threads would only take turns on it
 	if c.memory > 0 {
 		debug.SetMemoryLimit(int64(softPart * float64(c.memory)))
+		debug.SetGCPercent(garbagePart)
 	}
 	listener, err := net.Listen("tcp", c.listen)
 	if err != nil {
--- a/decide/api.go
+++ b/decide/api.go
@@ -227,6 +227,7 @@
 	Cancelled          // called off; may have run
 	NotSent            // never sent; never ran
 	NotHere            // turned away untouched: not primary, or too far behind
+	Rejected           // turned away for what it is: never ran, and no member would take it
 )
 
 // Event is one thing that happened. Kind tells which fields count.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,7 +48,7 @@
 	failsMost   = 2                      // so many broken connections with no answer between are no chance
 	lostTimes   = 5.0                    // an attempt out for so many times what is usual there, while
 	lostPassed  = 3                      // so many sent later were answered, has lost its answer
-	lossyLeast  = 0.04                   // where so many of all answers are lost it is no chance:
+	lossyLeast  = 0.08                   // where so many of all answers are lost it is no chance:
 	lossyBlend  = 0.02                   // over about fifty attempts
 	errsMost    = 0.3                    // a member that errs more often is the last to be used
 	trialFirst  = 300 * time.Millisecond // a suspect gets one trial request so soon, then at doubling spans
@@ -67,6 +67,9 @@
 	coldShare   = 0.5                   // part of the stated multiple used on a cold member, the rest for error
 	askFirst    = 500 * time.Millisecond
 	askMost     = 4 * time.Second
+	sessionMost = 4096 // sessions a group whose commits are kept while a member may lack them
+	goneKeep    = time.Minute
+	memberMost  = 1024            // members kept; a longer list is cut
 	askLost     = 5 * time.Second // an ask with no reply for so long is asked again
 	logEvery    = time.Second
 )
@@ -174,23 +177,41 @@
 	for _, g := range r.order {
 		for _, m := range g.members {
 			if !named[m.ID] {
-				m.gone = !r.cfg.OnlyDrainBinds
+				m.gone, m.State = !r.cfg.OnlyDrainBinds, Removed
 			}
 		}
 	}
 }
 
+// dropGone forgets members that have left the list, as their like come under ever new ids. One that restarts
+// comes back under its own, so they are kept a while.
+func (r *Router) dropGone(g *group) {
+	g.members = slices.DeleteFunc(g.members, func(m *member) bool {
+		if !m.gone && (m.State != Removed || !m.suspect) || len(m.open) > 0 {
+			m.left = r.now
+		}
+		drop := r.now-m.left > goneKeep || r.now > m.left && len(r.members) > memberMost/2
+		if drop {
+			delete(r.members, m.ID)
+		}
+		return drop
+	})
+}
+
 // listed takes one entry. A drained or removed member gets nothing new from now on: the list is late enough.
 func (r *Router) listed(l Member) {
 	m := r.members[l.ID]
 	if m == nil {
+		if l.State == Removed || len(r.members) >= memberMost {
+			return
+		}
 		g := r.groups[l.Group]
 		if g == nil {
 			g = &group{id: l.Group, sessions: map[string]Time{}, floor: never, wanted: never}
 			r.groups[l.Group] = g
 			r.order = append(r.order, g)
 		}
-		m = &member{Member: l, group: g, pos: never, roleAt: never, heard: never, probedAt: never,
+		m = &member{Member: l, group: g, left: r.now, pos: never, roleAt: never, heard: never, probedAt: never,
 			stretch: 1, quick: 1, overdue: forever, cutAt: never, probeGap: r.freshFor / 3, trialGap: trialFirst}
 		g.members = append(g.members, m)
 		r.members[l.ID] = m
@@ -266,6 +287,9 @@
 			least = min(least, m.pos)
 		}
 	}
+	if len(g.sessions) > sessionMost { // a member that stays behind must not keep them all
+		least = r.now
+	}
 	for s, c := range g.sessions { // in any order: max and delete
 		if c <= least {
 			g.floor = max(g.floor, c)
@@ -605,6 +629,9 @@
 		return
 	}
 	switch e.Result {
+	case Rejected: // it is for its client to mend
+		r.do(Action{Kind: Fail, Request: q.id})
+		r.end(q)
 	case Full, Unreachable, NotHere, NotSent: // never ran
 		if q.away == nil {
 			q.away = map[*member]Time{}
@@ -669,7 +696,7 @@
 			}
 		}
 		fallthrough
-	case Errored, NotHere, Full:
+	case Errored, NotHere, Full, Rejected:
 		if e.Result == Errored {
 			r.erred(m)
 		}
@@ -851,6 +878,7 @@
 			m.ghosts = slices.DeleteFunc(m.ghosts, func(s spent) bool { return s.at <= r.now })
 		}
 		r.forgetCommits(g)
+		r.dropGone(g)
 		r.gather(g)
 	}
 	for _, q := range r.open {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -566,6 +567,44 @@
 	}
 }
 
+// What no member can use fails at once and is tried nowhere else; it says nothing against the member.
+func TestRejectedIsFinal(t *testing.T) {
+	g := newRig(t, nil, members())
+	m := g.sentTo(g.arrive(1, anyRead, time.Second, ""), 1)
+	as := g.answer(1, 0, m, Rejected, RoleUnknown, 0)
+	if len(pick(as, Fail, 1)) != 1 || len(pick(as, Send, 1)) != 0 || g.r.members[m].errors > 0 || len(g.r.requests) != 0 {
+		t.Errorf("actions %+v, errors %v", as, g.r.members[m].errors)
+	}
+}
+
+// Members come and go under ever new ids, and sessions with them; neither table grows, though one replica is
+// never heard of. What is forgotten of sessions still binds.
+func TestTablesAreBounded(t *testing.T) {
+	g := newRig(t, nil, members())
+	for id := uint64(1); id < 3*sessionMost; id++ {
+		name := fmt.Sprint("m", id)
+		g.step(Event{Kind: ListChange, Members: []Member{{ID: name}}})
+		as := g.arrive(id, once, time.Second, fmt.Sprint("s", id))
+		g.now += 5 * ms
+		g.answer(id, 0, g.sentTo(as, id), Served, Primary, g.now)
+		g.step(Event{Kind: ListChange, Members: []Member{{ID: name, State: Removed}}})
+	}
+	g.run(goneKeep + 50*ms)
+	if n, s := len(g.r.members), len(g.r.groups[0].sessions); n != 3 || s > sessionMost {
+		t.Errorf("%d members, %d sessions kept", n, s)
+	}
+	g.tell("q", g.now-Time(sessionMost)*20*ms)
+	if m := g.sentTo(append(g.arrive(1e6, session, time.Second, "s1"), g.run(100*ms)...), 1e6); m != "p" {
+		t.Errorf("read of a forgotten session sent to %s, which lags", m)
+	}
+	for i := range 2 * memberMost {
+		g.step(Event{Kind: ListChange, Members: []Member{{ID: fmt.Sprint("n", i)}}})
+	}
+	if n := len(g.r.members); n != memberMost {
+		t.Errorf("%d members kept", n)
+	}
+}
+
 // Long any reads go to the replica furthest behind, so that the others keep applying (incident icd29a7).
 func TestLongReadsGather(t *testing.T) {
 	g := newRig(t, func(c *Config) {
--- a/decide/state.go
+++ b/decide/state.go
@@ -36,6 +36,7 @@
 type member struct {
 	Member
 	group              *group
+	left               Time // last sweep that found it listed
 	gone, suspect      bool // out of the list; taken out until a trial answers
 	pos                Time // last known log position; never extrapolated
 	lag                Time // how far behind pos was when it was told
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -126,7 +126,7 @@
 func TestMove(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var mu sync.Mutex
-		var calls, told []string
+		var calls, told, closed []string
 		note := func(list *[]string, s string) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -139,7 +139,7 @@
 				for {
 					line, err := r.ReadString('\n')
 					if err != nil {
-						note(&calls, addr+" closed")
+						note(&closed, addr)
 						return
 					}
 					for rest := "x"; strings.TrimSpace(rest) != ""; {
@@ -165,11 +165,11 @@
 		c.Move("new")
 		synctest.Wait()
 		mu.Lock()
-		got := strings.Join(calls, " ") + "|" + strings.Join(told, " ")
+		got := strings.Join(calls, " ") + "|" + strings.Join(told, " ") + "|" + strings.Join(closed, " ")
 		mu.Unlock()
 		full := fmt.Sprint(decide.ListFull)
-		if want := "old?index=7&wait=0 old?index=3&wait=20000 old closed new new?index=3&wait=0 new?index=3&wait=20000|" +
-			full + " " + full + " " + full; got != want {
+		if want := "old?index=7&wait=0 old?index=3&wait=20000 new new?index=3&wait=0 new?index=3&wait=20000|" +
+			full + " " + full + " " + full + "|old"; got != want {
 			t.Errorf("got %s, want %s", got, want)
 		}
 		cancel()
--- a/internal/discovery/http.go
+++ b/internal/discovery/http.go
@@ -13,7 +13,7 @@
 	maxLine    = 8 << 10
 	maxHeaders = 64
 	maxInterim = 4
-	maxBody    = 8 << 20
+	maxBody    = 1 << 20 // some thousand members
 )
 
 var errHTTP = errors.New("malformed HTTP answer")
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"reachwind/decide"
 	"reachwind/internal/core"
 	"reachwind/internal/pgwire"
 	"reachwind/internal/wake"
@@ -48,6 +49,7 @@
 	errTooSlow  = errors.New("message took too long to come")
 	errSevered  = errors.New("stopping")
 	errProtocol = errors.New("protocol violation")
+	errInUse    = errors.New("a request with this id is in work")
 )
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -287,7 +289,11 @@
 	q, err := c.request(buf, came)
 	if err != nil {
 		buf.Release()
-		c.out = pgwire.AppendError(c.out[:0], "ERROR", pgwire.SyntaxError, err.Error(), "")
+		code := pgwire.SyntaxError
+		if errors.Is(err, errInUse) {
+			code = pgwire.DuplicateObject
+		}
+		c.out = pgwire.AppendError(c.out[:0], "ERROR", code, err.Error(), "")
 		c.out = pgwire.AppendReady(c.out)
 		return c.write(c.out)
 	}
@@ -356,16 +362,22 @@
 		return nil, fmt.Errorf("unknown class %.40q", st.Class)
 	}
 	k := &c.s.conf.Classes[class]
-	if st.Read == k.Writes() {
+	switch {
+	case st.Read == k.Writes():
 		return nil, fmt.Errorf("class %q takes no such statement", st.Class)
+	case k.Effect == decide.Keyed && !st.Keyed:
+		return nil, fmt.Errorf("class %q needs k", st.Class)
+	case !c.s.claim(st.ID): // under one id two requests would look to members like copies of one
+		return nil, errInUse
 	}
+	st.Done = func() { c.s.disclaim(st.ID) }
 	tenant, ok := c.s.tenants[st.Tenant]
 	if !ok {
 		tenant = -1
 	}
 	q := &core.Request{Class: class, Tenant: tenant, Group: st.Cluster, Retry: st.Retry,
 		Written: core.Time(st.After) * time.Millisecond, Call: st,
-		Until: came + core.Time(min(st.Wait, maxWait))*time.Millisecond}
+		Until: came + min(core.Time(min(st.Wait, maxWait))*time.Millisecond, k.Deadline)}
 	if k.HasSession() {
 		q.Session = st.Key
 	}
--- a/internal/pgfront/conn_test.go
+++ b/internal/pgfront/conn_test.go
@@ -85,7 +85,8 @@
 func newServer(f *fakeCore, most int) (*Server, *pgwire.Pool) {
 	bufs := pgwire.NewPool(buffers)
 	return New(f, Config{
-		Classes: []decide.Class{{Name: "r"}, {Name: "w", Consistency: decide.Write}},
+		Classes: []decide.Class{{Name: "r", Deadline: time.Second},
+			{Name: "w", Consistency: decide.Write, Effect: decide.Keyed, Deadline: time.Second}},
 		Tenants: []decide.Tenant{{Name: "t"}}, Max: most, Spare: 2, ComeBack: 500 * time.Millisecond, Keep: 1,
 		StartWait: time.Second, IdleKeep: 2 * time.Second, WriteWait: time.Second, RefuseWait: time.Second}, bufs, slog.New(slog.DiscardHandler)), bufs
 }
@@ -239,6 +240,35 @@
 	})
 }
 
+// TestUnusable: a statement that would mislead members is answered with an error and never handed over: one
+// under the id of an open request, or a write without its key. The id is free once its request is done with.
+func TestUnusable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeCore{}
+		s, _ := newServer(f, 2)
+		hello := pgwire.AppendStartup(nil, "app", "shop")
+		first := dial(s, append(slices.Clone(hello), query(read)...))
+		second := dial(s, append(slices.Clone(hello), query(read)...))
+		second.write <- query("/* id=2,c=w,d=400,cluster=2 */ INSERT INTO items (id, doc) VALUES ('a', 'b')")
+		synctest.Wait()
+		got := second.replies(t)
+		if !slices.Equal(got[len(got)-4:], []string{"E42710", "Z", "E42601", "Z"}) || f.arrived != 1 {
+			t.Errorf("replies %q, %d handed over", got, f.arrived)
+		}
+		close(first.write)
+		_ = first.Close() // the request is done with when its client has left
+		synctest.Wait()
+		second.write <- query(read)
+		synctest.Wait()
+		if f.arrived != 2 {
+			t.Error("the id is still taken")
+		}
+		close(second.write)
+		_ = second.Close()
+		synctest.Wait()
+	})
+}
+
 // model is what the connection should do: the replies it owes, in the order of
 // the commands, up to the first request that has no answer yet.
 type model struct {
--- a/internal/pgfront/server.go
+++ b/internal/pgfront/server.go
@@ -48,6 +48,7 @@
 
 	mu       sync.Mutex
 	conns    map[*conn]bool
+	open     map[string]bool // ids of the requests in work
 	refusing int
 	closing  bool
 	done     sync.WaitGroup
@@ -61,7 +62,7 @@
 // New returns a server that hands its requests to c.
 func New(c Core, conf Config, bufs *pgwire.Pool, log *slog.Logger) *Server {
 	s := &Server{core: c, log: log, conf: conf, bufs: bufs,
-		classes: map[string]int{}, tenants: map[string]int{}, conns: map[*conn]bool{}}
+		classes: map[string]int{}, tenants: map[string]int{}, conns: map[*conn]bool{}, open: map[string]bool{}}
 	for i := range conf.Classes {
 		s.classes[conf.Classes[i].Name] = i
 	}
@@ -148,6 +149,23 @@
 	return true
 }
 
+// claim notes that a request is in work and tells whether its id is its own.
+func (s *Server) claim(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open[id] {
+		return false
+	}
+	s.open[id] = true
+	return true
+}
+
+func (s *Server) disclaim(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, id)
+}
+
 // idle notes that a connection waits for a command, busy that it has one.
 func (s *Server) idle(c *conn) {
 	s.mu.Lock()
--- a/internal/pgmember/conn.go
+++ b/internal/pgmember/conn.go
@@ -264,6 +264,9 @@
 
 // outcomeOf maps an answer as the protocol's table does.
 func outcomeOf(a *answer) decide.Result {
+	if pgwire.Unusable(a.code) {
+		return decide.Rejected
+	}
 	switch a.code {
 	case "":
 		return decide.Served
--- a/internal/pgmember/pool.go
+++ b/internal/pgmember/pool.go
@@ -30,6 +30,7 @@
 	idlePart    = 0.8 // of Idle after which the pool closes a connection, so that no request crosses the member's close
 	gracePart   = 0.6 // of Grace after which nothing more is written
 	sweepEvery  = time.Second
+	membersMost = 1024                 // kept in all; a longer list is cut
 	boundMargin = 2 * time.Millisecond // data ages until the last byte is out
 )
 
@@ -51,6 +52,7 @@
 type member struct {
 	id, addr string
 	unwanted core.Time // told so then; 0 = wanted
+	left     bool      // out of the list
 	idle     []*conn   // the most recently used last
 	busy     []*conn
 	waiting  []*job
@@ -79,6 +81,9 @@
 		named[l.ID] = true
 		m := p.members[l.ID]
 		if m == nil {
+			if l.State == decide.Removed || len(p.members) >= membersMost {
+				continue
+			}
 			m = &member{id: l.ID}
 			p.members[l.ID] = m
 		}
@@ -86,13 +91,15 @@
 			m.addr = l.Addr
 			p.closeIdle(m, 0)
 		}
-		p.want(m, l.State == decide.Up || l.State == decide.Removed && p.conf.DrainOnly)
+		m.left = l.State == decide.Removed
+		p.want(m, l.State == decide.Up || m.left && p.conf.DrainOnly)
 	}
 	if kind == decide.ListChange || p.conf.DrainOnly {
 		return
 	}
 	for id, m := range p.members {
 		if !named[id] {
+			m.left = true
 			p.want(m, false)
 		}
 	}
@@ -216,9 +223,14 @@
 	return true
 }
 
-// sweep closes idle connections ahead of the members' limit.
+// sweep closes idle connections ahead of the members' limit, and forgets
+// members that have left for good: their like come under ever new ids.
 func (p *Pool) sweep() {
-	for _, m := range p.members {
+	for id, m := range p.members {
+		if m.left && m.unwanted != 0 && len(m.idle)+len(m.busy)+len(m.waiting)+m.making == 0 {
+			delete(p.members, id)
+			continue
+		}
 		p.closeIdle(m, p.core.Now()-core.Time(idlePart*float64(p.conf.Idle))+sweepEvery)
 	}
 	p.core.After(p.core.Now()+sweepEvery, p.sweep)
--- a/internal/pgmember/pool_test.go
+++ b/internal/pgmember/pool_test.go
@@ -58,7 +58,7 @@
 	{"row", decide.Served}, {"25006", decide.NotHere}, {"72000", decide.NotHere}, {"XX000", decide.Errored},
 	{"53300", decide.Full}, {"break", decide.Reset}, {"half", decide.Reset}, {"silent", decide.TimedOut},
 	{"row", decide.Served}, {"norow", decide.Errored}, {"badlen", decide.Errored}, {"fatal 53300", decide.Full},
-	{"noise", decide.Errored}, {"stall", decide.Errored}, {"two rows", decide.Errored}, {"short row", decide.Errored},
+	{"42601", decide.Rejected}, {"08P01", decide.Rejected}, {"noise", decide.Errored}, {"stall", decide.Errored}, {"two rows", decide.Errored}, {"short row", decide.Errored},
 	{"endless", decide.Errored}, {"odd error", decide.Errored}, {"extra", decide.Served}, {"row", decide.Served},
 }
 
@@ -283,7 +283,7 @@
 // arrive hands over a request that waits for the time given.
 func (r *rig) arrive(wait time.Duration) *sink {
 	buf := r.bufs.Get()
-	buf.B = append(buf.B, "/* id="+strconv.Itoa(len(r.script.arrived)+1)+",c=r,d=400 */ SELECT doc FROM items WHERE id = 'k'"...)
+	buf.B = append(buf.B, "/* id="+strconv.Itoa(len(r.script.arrived)+1)+",c=r,d=400,cluster=0 */ SELECT doc FROM items WHERE id = 'k'"...)
 	st, err := pgwire.Parse(buf)
 	if err != nil {
 		r.t.Fatal(err)
@@ -446,6 +446,34 @@
 	})
 }
 
+// TestMembersLeave: members that come under ever new ids and leave again are forgotten, once their connections
+// have closed; so many at once are taken, and no more.
+func TestMembersLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 4)
+		r.arrive(400 * time.Millisecond)
+		r.send(1)
+		r.sleep(100 * time.Millisecond)
+		list := make([]core.Listed, 2*membersMost)
+		for i := range list {
+			list[i].ID = strconv.Itoa(i)
+		}
+		r.core.List(decide.ListChange, list)
+		r.look(func() {
+			if n := len(r.pool.members); n != membersMost {
+				t.Errorf("%d members", n)
+			}
+		})
+		r.core.List(decide.ListFull, list[:1])
+		r.sleep(2 * sweepEvery)
+		r.look(func() {
+			if n := len(r.pool.members); n != 1 || r.pool.open != 0 {
+				t.Errorf("%d members, %d connections", n, r.pool.open)
+			}
+		})
+	})
+}
+
 // FuzzPool plays random sends, cancels, probes, lists and faults. Guards: one
 // outcome a send, one answer a request, never two attempts of a request out, no
 // more connections than allowed, nothing written to a drained member after the
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 )
 
 // Requests that stand in place of a startup message's version.
@@ -29,6 +30,8 @@
 	ProtocolViolation  = "08P01"
 	Unsupported        = "0A000"
 	SyntaxError        = "42601"
+	syntaxClass        = "42"
+	DuplicateObject    = "42710"
 	SystemError        = "58000"
 )
 
@@ -66,6 +69,11 @@
 	return int(l) - 4, nil
 }
 
+// Unusable tells that a code finds fault with the statement itself.
+func Unusable(code string) bool {
+	return strings.HasPrefix(code, syntaxClass) || code == ProtocolViolation
+}
+
 // Append appends a message.
 func Append(b []byte, typ byte, parts ...string) []byte {
 	n := 4
@@ -176,20 +184,28 @@
 // Statement is a client's statement with what its comment says.
 type Statement struct {
 	Buf     *Buf   // the text, without its final zero
+	ID      string // id
 	Class   string // c
 	Tenant  string // t
 	Wait    int64  // d, in milliseconds
 	Cluster int64
 	After   int64 // Unix time in ms of the session's last write, 0 = none
 	Retry   bool
+	Keyed   bool   // k is there
 	Key     string // the quoted key
 	Read    bool   // a SELECT
+	Done    func() // called on Release, if set
 
 	dFrom, dTo int // where the digits of d stand in the text
 }
 
 // Release gives the text's buffer back.
-func (s *Statement) Release() { s.Buf.Release() }
+func (s *Statement) Release() {
+	s.Buf.Release()
+	if s.Done != nil {
+		s.Done()
+	}
+}
 
 // Empty tells that a query's text holds no statement.
 func Empty(text []byte) bool {
@@ -206,9 +222,13 @@
 	return string(bytes.ToUpper(text[:n]))
 }
 
-// Parse reads the comment and the key of the text in buf.
+// Parse reads the comment and the key of the text in buf. What it takes a member
+// can read: one that cannot closes the connection, which would look like its fault.
 func Parse(buf *Buf) (*Statement, error) {
 	text := buf.B
+	if !utf8.Valid(text) || bytes.IndexByte(text, 0) >= 0 {
+		return nil, errors.New("statement is no text")
+	}
 	from := bytes.IndexByte(text, '/')
 	if from < 0 || len(bytes.TrimSpace(text[:from])) > 0 || !bytes.HasPrefix(text[from:], []byte("/*")) {
 		return nil, errors.New("no comment before the statement")
@@ -220,21 +240,21 @@
 	}
 	end += from
 	s := &Statement{Buf: buf}
+	seen := map[string]bool{}
 	for at := from; at < end; {
 		to := end
 		if i := bytes.IndexByte(text[at:end], ','); i >= 0 {
 			to = at + i
 		}
-		if err := s.field(text, at, to); err != nil {
+		if err := s.field(text, at, to, seen); err != nil {
 			return nil, err
 		}
 		at = to + 1
 	}
-	switch {
-	case s.Class == "":
-		return nil, errors.New("comment without c")
-	case s.dTo == 0:
-		return nil, errors.New("comment without d")
+	for _, name := range []string{"id", "c", "d", "cluster"} {
+		if !seen[name] {
+			return nil, fmt.Errorf("comment without %s", name)
+		}
 	}
 	rest := text[end+2:]
 	switch Verb(rest) {
@@ -244,16 +264,32 @@
 	default:
 		return nil, errors.New("neither SELECT nor INSERT")
 	}
-	s.Key = quoted(rest)
+	if bytes.Count(rest, []byte{'\''})%2 != 0 {
+		return nil, errors.New("quote without end")
+	}
+	if s.Key = quoted(rest); s.Key == "" || len(s.Key) > maxName {
+		return nil, errors.New("no key, or one of impossible length")
+	}
 	return s, nil
 }
 
-// field takes the name=value at text[from:to].
-func (s *Statement) field(text []byte, from, to int) (err error) {
+const maxFields = 32 // in a comment
+
+const maxName = 256 // bytes of an id or a key; both are kept in tables
+
+// field takes the name=value at text[from:to]; seen are the names that came.
+func (s *Statement) field(text []byte, from, to int, seen map[string]bool) (err error) {
 	name, value, ok := bytes.Cut(text[from:to], []byte{'='})
 	if !ok {
 		return nil
 	}
+	if n := string(bytes.TrimSpace(name)); len(bytes.TrimSpace(value)) == 0 || seen[n] {
+		return fmt.Errorf("comment: %.40q is empty or comes twice", n)
+	} else if len(seen) < maxFields {
+		seen[n] = true
+	} else {
+		return errors.New("comment too long")
+	}
 	number := func() (n int64) {
 		n, err = strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
 		if err != nil || n < 0 || n > 1<<50 {
@@ -262,6 +298,12 @@
 		return n
 	}
 	switch v := string(bytes.TrimSpace(value)); string(bytes.TrimSpace(name)) {
+	case "id":
+		if s.ID = v; len(v) > maxName {
+			err = errors.New("comment: id of impossible length")
+		}
+	case "k":
+		s.Keyed = true
 	case "c":
 		s.Class = v
 	case "t":
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 )
@@ -28,21 +29,38 @@
 	if typ, n, err := Header(q); typ != 'Q' || n != len(want) || err != nil || string(q[5:]) != want {
 		t.Errorf("query %q", q)
 	}
-	for name, text := range map[string]string{
-		"no comment": "SELECT 1", "no end": "/* c=a,d=1 SELECT 1", "no class": "/* d=1 */ SELECT 'a'",
-		"no wait": "/* c=a */ SELECT 'a'", "bad wait": "/* c=a,d=x */ SELECT 'a'", "negative": "/* c=a,d=-1 */ SELECT 'a'",
-		"huge": "/* c=a,d=99999999999999999999 */ SELECT 'a'", "verb": "/* c=a,d=1 */ DROP TABLE items",
-		"late comment": "SELECT /* c=a,d=1 */ 'a'",
+	if s.ID != "9b" || !s.Keyed {
+		t.Errorf("parsed %+v", s)
+	}
+	const good = "/* id=9,c=a,d=1,cluster=0 */ SELECT doc FROM items WHERE id = 'a'"
+	if _, err := parse(good); err != nil {
+		t.Error(err)
+	}
+	for name, tc := range map[string][2]string{
+		"no comment": {"/* ", ""}, "no end": {"*/", ""}, "no class": {"c=a,", ""}, "no wait": {",d=1", ""},
+		"no id": {"id=9,", ""}, "empty id": {"id=9", "id="}, "long id": {"id=9", "id=" + strings.Repeat("9", 300)},
+		"no cluster": {",cluster=0", ""}, "two waits": {"d=1", "d=1,d=2"}, "many fields": {"d=1", "d=1" + fields(40)},
+		"bad wait": {"d=1", "d=x"}, "negative": {"d=1", "d=-1"}, "huge": {"d=1", "d=99999999999999999999"},
+		"verb": {"SELECT", "DROP"}, "late comment": {"/*", "SELECT /*"}, "no text": {"items", "it\xffems"},
+		"zero": {"items", "it\x00ems"}, "open quote": {"'a'", "'a"}, "no key": {"'a'", "a"},
 	} {
-		if _, err := parse(text); err == nil {
+		if _, err := parse(strings.Replace(good, tc[0], tc[1], 1)); err == nil {
 			t.Errorf("%s: no error", name)
 		}
 	}
 }
 
+func fields(n int) (s string) {
+	for i := range n {
+		s += fmt.Sprintf(",x%d=1", i)
+	}
+	return s
+}
+
 // FuzzParse: whatever a client sends there is no panic, and what is passed on differs in d alone.
 func FuzzParse(f *testing.F) {
-	for _, s := range []string{"/* c=a,d=1 */ SELECT 'x'", "/*d=,c=a*/ SELECT", "/* c=a,d= 5 ,d=6 */ INSERT 'a''", "/*/", "/*c=a,,d=1*/select'"} {
+	for _, s := range []string{"/* id=1,c=a,d=1,cluster=0 */ SELECT 'x'", "/*d=,c=a*/ SELECT",
+		"/* id=1,c=a,d= 5 ,cluster=2 */ INSERT 'a'''", "/*/", "/*c=a,,d=1*/select'"} {
 		f.Add(s)
 	}
 	f.Fuzz(func(t *testing.T, text string) {
