Make room for new clients by idle ones of any age, and take buffers as answers come

At fault: makeRoom left connections idle for under 2 s alone and could not see a startup that had come but was not read; an attempt held a buffer for its whole answer while it waited; one connection reset while it was made counted. Now Handle lets others run first, idle connections go longest first; a buffer is taken with an answer's first row; a connection reset at its start is tried once more, and counts against a member as other resets do. Lines logged once a second end with what came after.

--- a/cmd/reachwind/serve.go
+++ b/cmd/reachwind/serve.go
@@ -26,12 +26,12 @@
 
 	leastSockets  = 64
 	leastMemory   = 32 << 20
-	clientPart    = 0.45  // of the descriptors, for client connections
-	sparePart     = 0.06  // for those being ended or refused
-	memberPart    = 0.375 // for member connections; the rest is for discovery, the listener and the runtime
-	bufferPart    = 0.4   // of the memory, for buffers
-	softPart      = 0.8   // of the memory, above which the collector works harder
-	garbagePart   = 25    // per cent of what is in use: buffers are most of that, and garbage may grow with it
+	clientPart    = 0.5  // of the descriptors, for client connections
+	sparePart     = 0.08 // for those being ended or refused
+	memberPart    = 0.33 // for member connections; the rest is for discovery, the listener and the runtime
+	bufferPart    = 0.5  // of the memory, for buffers
+	softPart      = 0.8  // of the memory, above which the collector works harder
+	garbagePart   = 25   // per cent of what is in use: buffers are most of that, and garbage may grow with it
 	freeMemory    = 512 << 20
 	acceptAfter   = 500 * time.Millisecond // clients keep coming for 0.4 s after SIGTERM
 	lastMoment    = 600 * time.Millisecond // past the longest deadline; SIGKILL may come 0.1 s later
@@ -40,11 +40,10 @@
 	graceUsual    = 250 * time.Millisecond
 	longestMost   = 3 * time.Second
 	startWait     = 2500 * time.Millisecond
-	idleKeep      = 2 * time.Second
 	writeWait     = 5 * time.Second
 	refuseWait    = time.Second
 	buffersLeast  = 16
-	bufferReserve = 0.25 // of the buffers, for the members' answers
+	bufferReserve = 0.15 // of the buffers, for the members' answers, which hold them for moments only
 )
 
 // serve runs the gateway until SIGTERM or SIGINT, then winds it down. SIGHUP has
@@ -104,7 +103,7 @@
 	owner.List(decide.ListSaved, c.known)
 	front := pgfront.New(owner, pgfront.Config{Classes: c.decide.Classes, Tenants: c.decide.Tenants,
 		Max: int(clientPart * float64(c.sockets)), Spare: int(sparePart * float64(c.sockets)),
-		ComeBack: c.decide.MaxRetryAfter, IdleKeep: idleKeep,
+		ComeBack:  c.decide.MaxRetryAfter,
 		Keep:      int(bufferReserve * float64(buffers)),
 		StartWait: startWait, WriteWait: writeWait, RefuseWait: refuseWait}, bufs, log)
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -720,11 +720,11 @@
 		}
 		r.observe(m, a, took)
 		m.ghosts = append(m.ghosts, spent{r.now + Time(a.cost*m.stretch), a.cost})
-	case Unreachable:
-		r.suspect(m, true)
-	case Reset: // one broken connection is no sign, nor are more among answers
-		if m.fails++; m.heard < a.sent && (m.fails >= failsMost || m.suspect || m.heard < r.now-silentLeast) {
-			r.suspect(m, false)
+	case Unreachable, Reset: // one broken connection of a member that answered a moment ago is no sign
+		m.fails++
+		if again := m.fails >= failsMost || m.suspect || m.heard < r.now-silentLeast; again &&
+			(m.heard < a.sent || e.Result == Unreachable) {
+			r.suspect(m, e.Result == Unreachable)
 		}
 	}
 }
--- a/internal/often/often.go
+++ b/internal/often/often.go
@@ -17,6 +17,7 @@
 	mu    sync.Mutex
 	at    time.Time
 	times int
+	later func() // writes what came last, at the end of the second
 }
 
 // Warn logs a warning.
@@ -29,8 +30,23 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.times++
-	if now := time.Now(); now.Sub(l.at) >= every {
+	waits := l.later != nil
+	l.later = func() {
 		log.Log(context.Background(), level, msg, append(args, "times", l.times)...)
-		l.at, l.times = now, 0
+		l.at, l.times, l.later = time.Now(), 0, nil
 	}
+	if waits {
+		return
+	}
+	if left := every - time.Since(l.at); left > 0 {
+		time.AfterFunc(left, l.flush)
+		return
+	}
+	l.later()
+}
+
+func (l *Line) flush() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.later()
 }
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -38,7 +38,7 @@
 	due      time.Time // the first command must be whole by then; zero once it is
 
 	// Under the server's lock.
-	started   bool      // the startup has come
+	spoke     bool      // some byte has come
 	leaving   bool      // told to stop, to make room
 	idleSince time.Time // zero with a command in work
 }
@@ -145,8 +145,18 @@
 		wait = c.s.conf.RefuseWait
 	}
 	defer c.limit(wait)()
+	woken := func() error {
+		if err := c.woken(); err != nil || !c.stopping {
+			return err
+		}
+		return errSevered
+	}
+	if _, err := c.Peek(1, woken); err != nil {
+		return err
+	}
+	c.s.heard(c)
 	for {
-		head, err := c.Peek(4, c.idle)
+		head, err := c.Peek(4, woken)
 		if err != nil {
 			return err
 		}
@@ -156,7 +166,7 @@
 		}
 		body := make([]byte, n)
 		_, _ = c.R.Discard(4)
-		if err := c.Fill(body, c.woken); err != nil {
+		if err := c.Fill(body, woken); err != nil {
 			return err
 		}
 		switch version := binary.BigEndian.Uint32(body); {
--- a/internal/pgfront/server.go
+++ b/internal/pgfront/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"runtime"
 	"sync"
 	"time"
 
@@ -25,7 +26,6 @@
 	ComeBack   time.Duration // told to those refused for want of room, 0 = nothing
 	Keep       int           // buffers left to the members when statements take the rest
 	StartWait  time.Duration // the first command, and each message once begun, must have come by then
-	IdleKeep   time.Duration // a connection idle for less is not ended to make room
 	WriteWait  time.Duration // an answer must have been taken by then
 	RefuseWait time.Duration // how long a refused connection may linger
 }
@@ -56,7 +56,8 @@
 	refused, closed, broken, full often.Line
 }
 
-// silentLeast is how long a connection that has sent no startup is left alone: clients send it at once.
+// silentLeast is how long a connection that has sent nothing is left alone while others are idle: clients send
+// their startup at once.
 const silentLeast = 50 * time.Millisecond
 
 // New returns a server that hands its requests to c.
@@ -91,6 +92,7 @@
 // Handle serves one connection in the background. At the limit the clients that
 // ask once and keep their connection, or never ask, make room for those that ask now.
 func (s *Server) Handle(nc net.Conn) {
+	runtime.Gosched() // hundreds may come at once: what those before have sent is read first, and they count as asking
 	c := newConn(s, nc)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -122,22 +124,25 @@
 	}()
 }
 
-// makeRoom ends the connection that has been silent longest without a startup,
+// makeRoom ends the connection that has been silent longest without a byte,
 // else the one idle longest, and tells whether there was one. A request that
 // crosses the end is served first, or was not read: its client asks again.
 func (s *Server) makeRoom() bool {
 	var oldest *conn
-	now := time.Now()
-	for c := range s.conns {
-		least := s.conf.IdleKeep
-		if !c.started {
-			least = silentLeast
+	rank := func(c *conn) int { // a client that has only just connected is not called silent
+		switch {
+		case !c.spoke && time.Since(c.idleSince) >= silentLeast:
+			return 2
+		case c.spoke:
+			return 1
 		}
-		if c.leaving || c.idleSince.IsZero() || now.Sub(c.idleSince) < least {
+		return 0
+	}
+	for c := range s.conns {
+		if c.leaving || c.idleSince.IsZero() {
 			continue
 		}
-		if oldest == nil || oldest.started && !c.started ||
-			oldest.started == c.started && c.idleSince.Before(oldest.idleSince) {
+		if oldest == nil || rank(c) > rank(oldest) || rank(c) == rank(oldest) && c.idleSince.Before(oldest.idleSince) {
 			oldest = c
 		}
 	}
@@ -170,7 +175,7 @@
 func (s *Server) idle(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.started, c.idleSince = true, time.Now()
+	c.idleSince = time.Now()
 }
 
 func (s *Server) busy(c *conn) {
@@ -179,6 +184,13 @@
 	c.idleSince = time.Time{}
 }
 
+// heard notes that a connection has sent something.
+func (s *Server) heard(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.spoke = true
+}
+
 // Shutdown ends connections as they fall idle, answers what was taken, and
 // returns when none is left.
 func (s *Server) Shutdown() {
--- a/internal/pgmember/conn.go
+++ b/internal/pgmember/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"strconv"
 	"sync/atomic"
@@ -51,10 +52,11 @@
 }
 
 var (
-	errStopped = errors.New("stopped")
-	errClosed  = errors.New("closed")
-	errStalled = errors.New("answer stalled")
-	errSpoilt  = errors.New("answer out of order")
+	errStopped  = errors.New("stopped")
+	errClosed   = errors.New("closed")
+	errStalled  = errors.New("answer stalled")
+	errSpoilt   = errors.New("answer out of order")
+	errNoBuffer = errors.New("out of buffers")
 )
 
 func newConn(p *Pool, m *member) *conn { return &conn{p: p, m: m, addr: m.addr} }
@@ -62,7 +64,15 @@
 // start connects in the background.
 func (c *conn) start() {
 	go func() {
-		result, err := c.connect()
+		ctx, cancel := context.WithTimeout(context.Background(), c.p.conf.Connect)
+		result, err := c.connect(ctx)
+		if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) { // may be chance: if the member is down, the next is refused
+			if c.Conn != nil {
+				c.End()
+			}
+			result, err = c.connect(ctx)
+		}
+		cancel()
 		if err != nil {
 			if c.Conn != nil {
 				c.End()
@@ -86,9 +96,7 @@
 func (c *conn) limit(t core.Time) { c.sendBy.Store(int64(t)) }
 
 // connect dials and passes the startup, all within the time for connecting.
-func (c *conn) connect() (decide.Result, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), c.p.conf.Connect)
-	defer cancel()
+func (c *conn) connect(ctx context.Context) (decide.Result, error) {
 	nc, err := c.p.dial(ctx, c.addr)
 	switch {
 	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.EADDRNOTAVAIL):
@@ -165,20 +173,18 @@
 
 // run carries out one job and tells whether the connection may be used again.
 func (c *conn) run(j *job) bool {
-	buf := c.p.bufs.Get()
-	if buf == nil || !c.may(j) {
-		if buf != nil {
-			buf.Release()
-		}
+	if !c.may(j) {
 		c.done(j, core.Outcome{Result: decide.NotSent})
 		return true
 	}
-	a := answer{buf: buf}
+	a := answer{job: j}
 	o := c.exchange(j, &a)
-	if o.Result == decide.Served && j.attempt != nil {
-		o.Body = buf
-	} else {
-		buf.Release()
+	switch {
+	case a.buf == nil:
+	case o.Result == decide.Served && j.attempt != nil:
+		o.Body = a.buf
+	default:
+		a.buf.Release()
 	}
 	if a.ready && c.R.Buffered() == 0 { // else more came than belongs to the answer
 		c.done(j, o)
@@ -205,18 +211,17 @@
 
 // exchange writes a job's statement and reads the whole answer.
 func (c *conn) exchange(j *job, a *answer) (o core.Outcome) {
-	query, until := pgwire.Append(a.buf.B, 'Q', "SHOW health\x00"), c.p.core.Now()+c.p.conf.Connect
+	query, until := net.Buffers{pgwire.Append(nil, 'Q', "SHOW health\x00")}, c.p.core.Now()+c.p.conf.Connect
 	if j.attempt != nil {
 		until = j.attempt.Until
 		wait := max((until - c.p.core.Now()).Milliseconds(), 1)
-		query = j.attempt.Request.Call.(*pgwire.Statement).AppendQuery(a.buf.B, wait)
+		query = j.attempt.Request.Call.(*pgwire.Statement).Query(wait)
 	}
 	_ = c.SetWriteDeadline(c.p.core.At(until))
-	if _, err := c.Write(query); err != nil {
+	if _, err := query.WriteTo(c.Conn.Conn); err != nil {
 		return core.Outcome{Result: decide.Unreachable}
 	}
 	why := decide.Reset
-	a.job = j
 	err := c.read(a, func() error {
 		for _, o := range c.Take() {
 			switch {
@@ -235,7 +240,8 @@
 		return nil
 	})
 	switch {
-	case errors.Is(err, pgwire.ErrTooLong), errors.Is(err, pgwire.ErrMalformed), errors.Is(err, errSpoilt), errors.Is(err, errStalled):
+	case errors.Is(err, pgwire.ErrTooLong), errors.Is(err, pgwire.ErrMalformed), errors.Is(err, errSpoilt), errors.Is(err, errStalled),
+		errors.Is(err, errNoBuffer):
 		// The member has run it, and is there: but for this answer nothing is amiss. Nor is what it tells believed.
 		c.p.spoilt.Warn(c.p.log, "answer spoilt", "member", c.m.id, "err", err)
 		return core.Outcome{Result: decide.Errored}
@@ -313,7 +319,12 @@
 			return err
 		}
 		body := small[:]
-		keep := a.buf != nil && (typ == 'T' || typ == 'D' || typ == 'C')
+		keep := a.job != nil && (typ == 'T' || typ == 'D' || typ == 'C')
+		if keep && a.buf == nil {
+			if a.buf = c.p.bufs.Get(); a.buf == nil {
+				return errNoBuffer
+			}
+		}
 		switch {
 		case keep:
 			if len(a.buf.B)+5+n+len(readyForQuery) > cap(a.buf.B) {
@@ -361,11 +372,11 @@
 	case typ == 'S':
 		c.status(a, body)
 	case typ == 'N':
-	case typ == 'Z' && len(body) == 1 && (over || a.buf == nil):
+	case typ == 'Z' && len(body) == 1 && (over || a.job == nil):
 		a.ready = true
 	case typ == 'E' && !over:
 		a.code, err = pgwire.ErrorCode(body)
-	case a.buf == nil && (typ == 'R' || typ == 'K'):
+	case a.job == nil && (typ == 'R' || typ == 'K'):
 	case typ == 'T' && !over && !a.described:
 		a.described, err = true, pgwire.OneColumn(body)
 	case typ == 'D' && !over && a.described && a.row == nil:
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -340,14 +340,14 @@
 	return ""
 }
 
-// AppendQuery appends the statement as a Query that says how many milliseconds its sender will wait.
-func (s *Statement) AppendQuery(b []byte, wait int64) []byte {
+// Query returns the parts of a Query with the statement, which says how many
+// milliseconds its sender will wait. The large part is the statement's own memory.
+func (s *Statement) Query(wait int64) [][]byte {
 	text := s.Buf.B
 	digits := strconv.AppendInt(make([]byte, 0, 20), wait, 10)
 	n := 4 + s.dFrom + len(digits) + len(text) - s.dTo + 1
-	b = binary.BigEndian.AppendUint32(append(b, 'Q'), uint32(n))
-	b = append(b, text[:s.dFrom]...)
-	b = append(b, digits...)
-	b = append(b, text[s.dTo:]...)
-	return append(b, 0)
+	head := append(make([]byte, 0, 5+s.dFrom+len(digits)), 'Q')
+	head = binary.BigEndian.AppendUint32(head, uint32(n))
+	head = append(append(head, text[:s.dFrom]...), digits...)
+	return [][]byte{head, text[s.dTo:], {0}}
 }
