Leave a suspect's trial the time to be answered

Ruled out: the gap between trials (reached 4 s because they failed), room, spares. Now what was out before the suspicion is called off, a trial once it is out for longer than is patient.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -800,7 +800,7 @@
 		m.overdue = r.now + silentLeast // looked at again then
 		return
 	}
-	m.suspect, m.trialAt, m.overdue = true, r.now+m.trialGap, forever
+	m.suspect, m.suspectAt, m.trialAt, m.overdue = true, r.now, r.now+m.trialGap, forever
 	m.limit = limitLeast * r.leastCost()
 	r.log("%s is suspect", m.ID)
 }
@@ -910,7 +910,9 @@
 func (r *Router) rescue(q *request) {
 	a := q.attempts[slices.IndexFunc(q.attempts, func(a *attempt) bool { return !a.done })]
 	late := r.waits == 0 && r.now-a.sent > Time(rescueAt*float64(q.class.Aim))
-	if a.off || q.class.Effect == Once || r.retries < 1 || !a.m.suspect && !late && !r.lost(a) {
+	// a trial of a suspect must be left the time to be answered
+	stuck := a.m.suspect && (a.sent <= a.m.suspectAt || r.now-a.sent > r.patience(a.m, a.cost))
+	if a.off || q.class.Effect == Once || r.retries < 1 || !stuck && !late && !r.lost(a) {
 		return
 	}
 	if q.class.Effect == Repeatable && r.cfg.MayDuplicate {
@@ -921,7 +923,7 @@
 		return
 	}
 	lost := r.lost(a)
-	if !r.cfg.MayCancel || !a.m.suspect && !lost {
+	if !r.cfg.MayCancel || !stuck && !lost {
 		return
 	}
 	if q.class.Consistency == Write && !lost {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -379,6 +379,30 @@
 	}
 }
 
+// A suspect's trial is left to be answered, which is how suspicion ends; what was out before goes elsewhere.
+func TestTrialIsLeftToRun(t *testing.T) {
+	g := newRig(t, nil, members()[:2])
+	first := g.sentTo(g.arrive(1, anyRead, time.Second, ""), 1)
+	g.r.suspect(g.r.members[first], true)
+	if as := g.run(20 * ms); len(pick(as, Cancel, 1)) != 1 {
+		t.Error("an attempt out at a suspect was not called off")
+	}
+	g.answer(1, 0, first, Cancelled, RoleUnknown, 0)
+	g.now += trialFirst
+	id := uint64(1)
+	for m := ""; m != first; g.now += ms {
+		id++
+		m = g.sentTo(g.arrive(id, anyRead, time.Second, ""), id)
+	}
+	if as := g.run(50 * ms); len(pick(as, Cancel, id)) != 0 {
+		t.Error("the trial was called off")
+	}
+	g.answer(id, 0, first, Served, RoleUnknown, 0)
+	if g.r.members[first].suspect {
+		t.Error("still suspect after an answer")
+	}
+}
+
 // Where answers get lost, a read that others have passed is called off and sent again, and the member is not
 // taken for busy. Where late answers come after all, reads are left to run.
 func TestLostAnswers(t *testing.T) {
--- a/decide/state.go
+++ b/decide/state.go
@@ -51,6 +51,7 @@
 	cutAt, heard       Time    // when the limit may fall again; last answer to a request
 	overdue            Time    // silent if not heard by then
 	trialAt, trialGap  Time
+	suspectAt          Time // since when, while suspect
 	probedAt, probeGap Time
 	probing            bool    // a probe is out
 	fails              int     // connections broken or refused since its last answer
