Try suspects each second, and blame no member for a connection that was old

After the cut of a zone, members stayed suspect up to 4 s longer; restarted ones had a budget by what warm ones took in that very second, a lull of refusals included. At fault: decide.trialMost; measureWarm; health, which was not told whether the connection was new. Now an outcome tells that the connection had been used and no byte of an answer had come (Reused): no evidence, no charge on the budget. Trials come at most 1 s apart, the warm measure falls by half in 14 s.

--- a/decide/api.go
+++ b/decide/api.go
@@ -250,6 +250,7 @@
 	Result  Result // Outcome, Probed
 	Elapsed Time   // Outcome, Probed
 	Ended   bool   // Outcome: the request has its final answer
+	Reused  bool   // Outcome: Reset, of a connection that had been used before
 
 	Role     Role // Outcome: the member's role now, if told
 	Stamped  bool // Outcome: Position was told
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -52,7 +52,7 @@
 	lossyBlend  = 0.02                   // over about fifty attempts
 	errsMost    = 0.3                    // a member that errs more often is the last to be used
 	trialFirst  = 300 * time.Millisecond // a suspect gets one trial request so soon, then at doubling spans
-	trialMost   = 4 * time.Second
+	trialMost   = time.Second
 	lateTimes   = 1.5                   // a member's usual latency times this must be left for a held request,
 	freshTry    = 0.6                   // but no more than this part of its aim
 	rescueAt    = 0.5                   // a read out for this part of its aim may go elsewhere too
@@ -64,6 +64,7 @@
 	askWait     = 30 * time.Millisecond // a read waits so long for a probe of its own,
 	askTimes    = 2                     // at most so often
 	probeWork   = time.Millisecond      // what a probe is booked at on a cold member, guessed high
+	warmFade    = 0.9995                // a sweep, of the most a warm member took: half in 14 s
 	coldShare   = 0.5                   // part of the stated multiple used on a cold member, the rest for error
 	askFirst    = 500 * time.Millisecond
 	askMost     = 4 * time.Second
@@ -641,7 +642,7 @@
 		if !q.riskSet || a.sent < q.riskAt {
 			q.riskSet, q.riskAt, q.riskZone = true, a.sent, m.Zone
 		}
-		if q.out == 0 && (q.class.Effect == Once || !r.spendRetry()) {
+		if q.out == 0 && (q.class.Effect == Once || !e.Reused && !r.spendRetry()) {
 			r.giveUp(q)
 		}
 	}
@@ -721,6 +722,9 @@
 		r.observe(m, a, took)
 		m.ghosts = append(m.ghosts, spent{r.now + Time(a.cost*m.stretch), a.cost})
 	case Unreachable, Reset: // one broken connection of a member that answered a moment ago is no sign
+		if e.Reused { // it may have been old: a new one will tell
+			break
+		}
 		m.fails++
 		if again := m.fails >= failsMost || m.suspect || m.heard < r.now-silentLeast; again &&
 			(m.heard < a.sent || e.Result == Unreachable) {
@@ -853,7 +857,8 @@
 	return sum
 }
 
-// measureWarm takes the mean work that warm members took from here; with none left the last measure holds.
+// measureWarm takes the mean work that warm members took from here, and the most of it lately: what they can
+// take shows when there is much. With none left the last measure holds.
 func (r *Router) measureWarm() {
 	sum, n := 0.0, 0.0
 	for _, m := range r.members { // in any order: a sum of whole ns
@@ -862,7 +867,7 @@
 		}
 	}
 	if n > 0 {
-		r.warm = sum / n
+		r.warm = max(sum/n, r.warm*warmFade)
 	}
 }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -376,6 +376,14 @@
 		if got := g.r.members["p"].suspect; got != tc.want {
 			t.Errorf("%s: suspect %v", name, got)
 		}
+		g = newRig(t, nil, members())
+		for id := uint64(1); id < 5; id++ { // connections that were used before may just have been old
+			g.arrive(id, once, time.Second, "u")
+			g.step(Event{Kind: Outcome, Request: id, Member: "p", Result: Reset, Reused: true})
+		}
+		if g.r.members["p"].suspect || g.r.retries < retryMost-1 {
+			t.Errorf("suspect %v, %v retries left", g.r.members["p"].suspect, g.r.retries)
+		}
 	}
 }
 
@@ -397,12 +405,34 @@
 	if as := g.run(50 * ms); len(pick(as, Cancel, id)) != 0 {
 		t.Error("the trial was called off")
 	}
+	if gap := g.r.members[first].trialAt - g.now; gap > trialMost {
+		t.Errorf("next trial in %v", gap)
+	}
 	g.answer(id, 0, first, Served, RoleUnknown, 0)
 	if g.r.members[first].suspect {
 		t.Error("still suspect after an answer")
 	}
 }
 
+// A cold member's budget follows the most that warm ones took lately: a lull says nothing of what they can take.
+func TestBudgetOutlastsALull(t *testing.T) {
+	g := newRig(t, nil, members()[:2])
+	for id := uint64(1); id < 400; id++ {
+		m := g.sentTo(g.arrive(id, anyRead, time.Second, ""), id)
+		g.now += 10 * ms
+		g.answer(id, 0, m, Served, RoleUnknown, 0)
+	}
+	busy := g.r.warm
+	g.run(3 * time.Second)
+	if g.r.warm < busy/2 || busy == 0 {
+		t.Errorf("measure fell from %v to %v in a lull", Time(busy), Time(g.r.warm))
+	}
+	g.run(2 * time.Minute)
+	if g.r.warm > busy/20 {
+		t.Errorf("measure still %v of %v after two minutes", Time(g.r.warm), Time(busy))
+	}
+}
+
 // Where answers get lost, a read that others have passed is called off and sent again, and the member is not
 // taken for busy. Where late answers come after all, reads are left to run.
 func TestLostAnswers(t *testing.T) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -93,6 +93,7 @@
 // Outcome is how an attempt ended.
 type Outcome struct {
 	Result   decide.Result
+	Reused   bool // Reset: the connection had been used before
 	Role     decide.Role
 	Stamped  bool
 	Position Time
@@ -311,7 +312,7 @@
 	a.done = true
 	q.out--
 	e := decide.Event{Kind: decide.Outcome, Request: q.id, Member: a.Member, Attempt: a.no, Result: o.Result,
-		Elapsed: c.Now() - a.sent, Ended: q.ended || o.Result == decide.Served,
+		Elapsed: c.Now() - a.sent, Ended: q.ended || o.Result == decide.Served, Reused: o.Reused,
 		Role: o.Role, Stamped: o.Stamped, Position: o.Position, Report: o.Report}
 	c.events = append(c.events, e)
 	if o.Result == decide.Served {
--- a/internal/pgmember/conn.go
+++ b/internal/pgmember/conn.go
@@ -48,6 +48,7 @@
 	addr   string
 	since  core.Time // idle since
 	sendBy atomic.Int64
+	used   bool // some answer came on it
 	hello  []byte
 }
 
@@ -249,7 +250,9 @@
 		o.Result = outcomeOf(a)
 	default:
 		o.Result = why
+		o.Reused = why == decide.Reset && c.used && !a.begun
 	}
+	c.used = true
 	o.Role, o.Stamped, o.Position, o.Report = a.role, a.stamped, a.position, a.report
 	if j.attempt == nil && o.Result == decide.Served {
 		c.report(&o.Report, a.row)
@@ -289,6 +292,7 @@
 	buf     *pgwire.Buf // takes RowDescription, DataRow and CommandComplete as they are; nil at the startup
 	job     *job        // that it answers
 	watched bool        // a stall will be noticed
+	begun   bool        // a byte of it came
 	row     []byte      // the value, within buf
 	described,
 	complete bool // RowDescription, CommandComplete came
@@ -310,6 +314,7 @@
 		} else if _, err := c.Peek(1, woken); err != nil { // the member may take its time until here
 			return err
 		}
+		a.begun = true
 		head, err := c.Peek(5, woken)
 		if err != nil {
 			return err
--- a/internal/pgmember/pool_test.go
+++ b/internal/pgmember/pool_test.go
@@ -446,6 +446,34 @@
 	})
 }
 
+// TestReused: a reset tells whether the connection had served before, and whether an answer had begun on it:
+// only a new connection's tells of the member.
+func TestReused(t *testing.T) {
+	for _, tc := range []struct {
+		first, then string
+		want        bool
+	}{{"", "break", false}, {"row", "break", true}, {"row", "half", false}} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, 4)
+			id := uint64(0)
+			for _, way := range []string{tc.first, tc.then} {
+				if way == "" {
+					continue
+				}
+				for r.way = 0; ways[r.way].name != way; r.way++ {
+				}
+				id++
+				r.arrive(400 * time.Millisecond)
+				r.send(id)
+				r.sleep(100 * time.Millisecond)
+			}
+			if e := r.script.outcomes[id]; len(e) != 1 || e[0].Result != decide.Reset || e[0].Reused != tc.want {
+				t.Errorf("%q, then %q: %+v", tc.first, tc.then, e)
+			}
+		})
+	}
+}
+
 // TestMembersLeave: members that come under ever new ids and leave again are forgotten, once their connections
 // have closed; so many at once are taken, and no more.
 func TestMembersLeave(t *testing.T) {
