End idle client connections early, so that clients have some left to ask on

Checked: a log of each answer (45 % of the requests never came), then of the connections' states twice a second: of 192, 120 to 126 idle after one answer, 64 silent, 2 to 25 with a request; some 60 new ones a second. At fault: pgfront ended idle connections only at its own limit, half of the descriptors; clients hold at most a third, and those that ask once and keep theirs took up all of it. Now those idle for 2 s end, and where more than 8 % of the descriptors are idle the longest idle over 0.2 s.

--- a/cmd/reachwind/serve.go
+++ b/cmd/reachwind/serve.go
@@ -27,6 +27,7 @@
 	leastSockets  = 64
 	leastMemory   = 32 << 20
 	clientPart    = 0.5  // of the descriptors, for client connections
+	idlePart      = 0.08 // of those, for such as are idle
 	sparePart     = 0.08 // for those being ended or refused
 	memberPart    = 0.33 // for member connections; the rest is for discovery, the listener and the runtime
 	bufferPart    = 0.5  // of the memory, for buffers
@@ -42,6 +43,7 @@
 	startWait     = 2500 * time.Millisecond
 	writeWait     = 5 * time.Second
 	refuseWait    = time.Second
+	idleMost      = 2 * time.Second
 	buffersLeast  = 16
 	bufferReserve = 0.15 // of the buffers, for the members' answers, which hold them for moments only
 )
@@ -105,7 +107,7 @@
 		Max: int(clientPart * float64(c.sockets)), Spare: int(sparePart * float64(c.sockets)),
 		ComeBack:  c.decide.MaxRetryAfter,
 		Keep:      int(bufferReserve * float64(buffers)),
-		StartWait: startWait, WriteWait: writeWait, RefuseWait: refuseWait}, bufs, log)
+		StartWait: startWait, WriteWait: writeWait, RefuseWait: refuseWait, IdleMost: idleMost, IdleKeep: int(idlePart * float64(c.sockets))}, bufs, log)
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/pgfront/conn_test.go
+++ b/internal/pgfront/conn_test.go
@@ -166,6 +166,43 @@
 	})
 }
 
+// TestEndIdle: connections idle for long end, and the longest idle where many are, but none that has only just
+// had its answer or has a request open.
+func TestEndIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := newServer(&fakeCore{}, 9)
+		s.conf.IdleKeep, s.conf.IdleMost = 2, 2*time.Second
+		hello := pgwire.AppendStartup(nil, "app", "shop")
+		peers := []*peer{dial(s, append(slices.Clone(hello), query(read)...))}
+		ended := func() (n int) {
+			s.endIdle()
+			synctest.Wait()
+			for _, p := range peers {
+				if p.ended() {
+					n++
+				}
+			}
+			return n
+		}
+		for i, want := range []int{0, 0, 1, 2, 3} { // two are kept
+			time.Sleep(150 * time.Millisecond)
+			peers = append(peers, dial(s, append(slices.Clone(hello), query("")...)))
+			if n := ended(); n != want {
+				t.Errorf("after %d idle ones %d ended, want %d", i+1, n, want)
+			}
+		}
+		time.Sleep(2 * time.Second)
+		if n := ended(); n != 5 || peers[0].ended() {
+			t.Errorf("%d of 5 long idle ended, the open one %v", n, peers[0].ended())
+		}
+		for _, p := range peers {
+			close(p.write)
+			_ = p.Close()
+		}
+		synctest.Wait()
+	})
+}
+
 // TestSilent: a client that never sends a whole command is told so, wherever it stops.
 func TestSilent(t *testing.T) {
 	hello := pgwire.AppendStartup(nil, "app", "shop")
--- a/internal/pgfront/server.go
+++ b/internal/pgfront/server.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"runtime"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,8 @@
 	StartWait  time.Duration // the first command, and each message once begun, must have come by then
 	WriteWait  time.Duration // an answer must have been taken by then
 	RefuseWait time.Duration // how long a refused connection may linger
+	IdleMost   time.Duration // a connection idle for longer is ended,
+	IdleKeep   int           // and the longest idle where so many are
 }
 
 // Core is the part of the core that a front uses.
@@ -58,7 +61,11 @@
 
 // silentLeast is how long a connection that has sent nothing is left alone while others are idle: clients send
 // their startup at once.
-const silentLeast = 50 * time.Millisecond
+const (
+	silentLeast = 50 * time.Millisecond
+	sweepEvery  = 100 * time.Millisecond
+	idleLeast   = 200 * time.Millisecond // a client that has just had its answer may be about to ask again
+)
 
 // New returns a server that hands its requests to c.
 func New(c Core, conf Config, bufs *pgwire.Pool, log *slog.Logger) *Server {
@@ -75,6 +82,20 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
+	sweep := time.NewTicker(sweepEvery)
+	done := make(chan struct{})
+	defer close(done)
+	defer sweep.Stop()
+	go func() {
+		for {
+			select {
+			case <-sweep.C:
+				s.endIdle()
+			case <-done:
+				return
+			}
+		}
+	}()
 	for {
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -154,6 +175,28 @@
 	return true
 }
 
+// endIdle ends connections that have been idle for long, and the longest idle
+// of more than IdleKeep. Clients that ask once and keep their connection would
+// else take up all those that clients may hold, and none could ask.
+func (s *Server) endIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var idle []*conn
+	for c := range s.conns {
+		if c.spoke && !c.leaving && !c.idleSince.IsZero() {
+			idle = append(idle, c)
+		}
+	}
+	slices.SortFunc(idle, func(a, b *conn) int { return a.idleSince.Compare(b.idleSince) })
+	for i, c := range idle {
+		if age := time.Since(c.idleSince); age < idleLeast || age < s.conf.IdleMost && len(idle)-i <= s.conf.IdleKeep {
+			break
+		}
+		c.leaving = true
+		c.Leave(message{stop: true})
+	}
+}
+
 // claim notes that a request is in work and tells whether its id is its own.
 func (s *Server) claim(id string) bool {
 	s.mu.Lock()
