Serve a command that waits unread when its connection is told to end

At fault: conn.idle and conn.next ended a stopping connection whose reader's buffer was empty; the read deadline that wakes it hides what waits in the socket, and a close on that resets the connection and the answer before. Now the socket must be quiet (MSG_PEEK) as well. The test uses a socket and fails without the change.

--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -71,8 +71,10 @@
 }
 
 // serve runs the connection to its end.
-func (c *conn) serve() {
-	err := c.startup()
+func (c *conn) serve() { c.serveFrom(c.startup()) }
+
+// serveFrom goes on after the startup, which ended with err.
+func (c *conn) serveFrom(err error) {
 	for err == nil {
 		err = c.next()
 	}
@@ -127,12 +129,15 @@
 	}
 }
 
-// idle is woken, for when nothing of a message has come: a stopping connection ends there.
+// idle is woken, for when nothing of a message has come: a stopping connection
+// ends there. A command may wait in the socket, unseen for the deadline that
+// woke the read: it is served first, as to close on it would reset the
+// connection, and with it perhaps the answer before.
 func (c *conn) idle() error {
 	if err := c.woken(); err != nil {
 		return err
 	}
-	if c.stopping && c.R.Buffered() == 0 {
+	if c.stopping && c.Quiet() {
 		return errSevered
 	}
 	return nil
@@ -198,7 +203,7 @@
 
 // next reads one message and answers it.
 func (c *conn) next() error {
-	if c.stopping && c.R.Buffered() == 0 {
+	if c.stopping && c.Quiet() {
 		return errSevered
 	}
 	c.s.idle(c)
--- a/internal/pgfront/conn_test.go
+++ b/internal/pgfront/conn_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -203,6 +204,41 @@
 	})
 }
 
+// TestStopCrosses: a command that has come when its connection is told to end, and was not read, is answered.
+func TestStopCrosses(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") // as only a socket holds what was not read
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	s, _ := newServer(&fakeCore{}, 1)
+	for range 20 {
+		a, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := newConn(s, b)
+		c.due = time.Time{}
+		if _, err := a.Write(query("")); err != nil {
+			t.Fatal(err)
+		}
+		for c.Quiet() {
+			runtime.Gosched()
+		}
+		c.Leave(message{stop: true})
+		go c.serveFrom(nil)
+		got, _ := io.ReadAll(a)
+		if len(got) < 5 || got[0] != 'I' {
+			t.Fatalf("answered %q", got)
+		}
+		_ = a.Close()
+	}
+}
+
 // TestSilent: a client that never sends a whole command is told so, wherever it stops.
 func TestSilent(t *testing.T) {
 	hello := pgwire.AppendStartup(nil, "app", "shop")
