Give up a discovery connection that has fallen silent within 6 s

Checked: the gateway's log: no list from the start to 22.5 s, when the watch's call timed out, though ten changes had been told elsewhere; the list came 0.8 s after that. Ruled out: member health (suspects are those gone). At fault: discovery's watch waited 20 s, plus 2, on a connection that had fallen silent. Now it waits 4 s, plus 1.5, so silence shows within the 6 s after which changes count as told; failed asks come at most 2 s apart (before 4).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -67,7 +67,7 @@
 	warmFade    = 0.9995                // a sweep, of the most a warm member took: half in 14 s
 	coldShare   = 0.5                   // part of the stated multiple used on a cold member, the rest for error
 	askFirst    = 500 * time.Millisecond
-	askMost     = 4 * time.Second
+	askMost     = 2 * time.Second
 	sessionMost = 4096 // sessions a group whose commits are kept while a member may lack them
 	goneKeep    = time.Minute
 	memberMost  = 1024            // members kept; a longer list is cut
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -55,8 +55,9 @@
 
 const (
 	path     = "/v1/endpoints"
-	longWait = 20 * time.Second // of a watch's calls
-	slack    = 2 * time.Second  // for an answer on top of the wait asked for
+	longWait = 4 * time.Second         // of a watch's calls: a connection that has fallen silent is noticed after it
+	slack    = 1500 * time.Millisecond // for an answer on top of the wait asked for; with it under the 6 s in which
+	// what discovery has to tell counts as told
 	dialWait = 500 * time.Millisecond
 )
 
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"strings"
@@ -104,7 +105,7 @@
 			c.Watch()
 			synctest.Wait()
 		}
-		want := "/v1/endpoints?index=7&wait=0 /v1/endpoints?index=8&wait=20000 /v1/endpoints?index=9&wait=20000 /v1/endpoints?index=9&wait=0"
+		want := "/v1/endpoints?index=7&wait=0 /v1/endpoints?index=8&wait=4000 /v1/endpoints?index=9&wait=4000 /v1/endpoints?index=9&wait=0"
 		if got := strings.Join(calls, " "); got != want {
 			t.Errorf("calls %s", got)
 		}
@@ -121,6 +122,55 @@
 	})
 }
 
+// TestSilence: a connection on which discovery has fallen silent is given up within the 6 s after which changes
+// count as told, and the next call goes out on another.
+func TestSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dials, failed := 0, make(chan time.Time, 9)
+		dial := func(context.Context, string) (net.Conn, error) {
+			a, b := net.Pipe()
+			dials++
+			first := dials == 1
+			go func() {
+				r := bufio.NewReader(b)
+				for calls := 0; ; calls++ {
+					for line := "x"; strings.TrimSpace(line) != ""; {
+						var err error
+						if line, err = r.ReadString('\n'); err != nil {
+							return
+						}
+					}
+					if first && calls == 1 { // the watch that waits; nothing more comes
+						_, _ = io.Copy(io.Discard, r)
+						return
+					}
+					_, _ = io.WriteString(b, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+				}
+			}()
+			return a, nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		begin := time.Now()
+		c := New("h:0", 7, func(kind decide.EventKind, _ []core.Listed) {
+			if kind == decide.ListError {
+				failed <- time.Now()
+			}
+		}, dial, slog.New(slog.DiscardHandler))
+		go c.Run(ctx)
+		c.Watch()
+		if after := (<-failed).Sub(begin); after >= 6*time.Second {
+			t.Errorf("noticed after %v", after)
+		}
+		c.Fetch()
+		synctest.Wait()
+		if dials != 2 {
+			t.Errorf("%d connections, want a second", dials)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // TestMove: at a new address the old one's call ends at once and untold, its connection closes, and the
 // whole list is asked for before the changes; a watch that is on goes on there.
 func TestMove(t *testing.T) {
@@ -147,7 +197,7 @@
 					}
 					call := strings.TrimPrefix(strings.Fields(line)[1], path)
 					note(&calls, addr+call)
-					if !strings.HasSuffix(call, "wait=20000") {
+					if !strings.HasSuffix(call, "wait=4000") {
 						text := `{"generation":3,"reset":true,"instances":[]}`
 						_, _ = fmt.Fprintf(b, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
 					}
@@ -168,7 +218,7 @@
 		got := strings.Join(calls, " ") + "|" + strings.Join(told, " ") + "|" + strings.Join(closed, " ")
 		mu.Unlock()
 		full := fmt.Sprint(decide.ListFull)
-		if want := "old?index=7&wait=0 old?index=3&wait=20000 new new?index=3&wait=0 new?index=3&wait=20000|" +
+		if want := "old?index=7&wait=0 old?index=3&wait=4000 new new?index=3&wait=0 new?index=3&wait=4000|" +
 			full + " " + full + " " + full + "|old"; got != want {
 			t.Errorf("got %s, want %s", got, want)
 		}
