Send outcome and member records to syslog collectors as RFC 5424, end to end

Need: field offices collect logs through syslog, and the program's records were loose text on standard error.

Change: the core makes a record of each final answer and each belief about a member, through one small interface that is nil while nobody listens; log lines are records too. Pure packages decide: syslog encodes and parses, logroute routes, samples, limits and backs off, logqueue numbers, bounds and resends. spool keeps what waits on disk, logship carries out, tlskeys holds certificates that change.

Found on the way: a record that may have arrived must not be dropped, or gap records tell of records that came; and a record confirmed and then put back by a broken connection lost its copy on disk, as the order to forget it was under way.

--- a/cmd/adapter/host.go
+++ b/cmd/adapter/host.go
@@ -283,11 +283,14 @@
 var verbs = map[decide.ActionKind]string{
 	decide.Send: "DELIVER", decide.Cancel: "CANCEL", decide.Refuse: "TURN_AWAY", decide.Fail: "ERROR",
 	decide.Probe: "SAMPLE", decide.Wake: "TIMER", decide.Watch: "FOLLOW",
-	decide.Fetch: "LIST_ALL", decide.Log: "EMIT",
+	decide.Fetch: "LIST_ALL", decide.Note: "EMIT",
 }
 
 // write puts one action on the wire; write errors show at the flush.
 func (in *instance) write(w *bufio.Writer, a *decide.Action) {
+	if a.Kind == decide.Note && a.Text == "" {
+		return
+	}
 	_, _ = fmt.Fprintf(w, "%s FrontId=%s", verbs[a.Kind], in.name)
 	switch a.Kind {
 	case decide.Send:
@@ -310,7 +313,7 @@
 		_, _ = fmt.Fprintf(w, " TimeUs=%d Handle=sweep", a.At.Microseconds())
 	case decide.Watch:
 		_, _ = w.WriteString(" Want=1")
-	case decide.Log:
+	case decide.Note:
 		_, _ = fmt.Fprintf(w, " ReasonText=%s", a.Text)
 	}
 	_ = w.WriteByte('\n')
--- a/decide/api.go
+++ b/decide/api.go
@@ -283,7 +283,7 @@
 	Wake              // give one Timer event at At
 	Watch             // ask for list changes from now on
 	Fetch             // ask for the whole list once
-	Log               // write Text in the log
+	Note              // Change is newly believed of Member, or of Group's primary
 )
 
 // Action is one thing the front must do. Kind tells which fields count.
@@ -296,5 +296,31 @@
 	Before  Time // Send: written whole by then, else not at all; 0 = any time
 	After   Time
 	At      Time
-	Text    string
+	Change  Change // Note
+	Group   int64  // Note
+	Text    string // Note: the same in words, for a log; once a second at most, else empty
+}
+
+// Change is what a Note tells of.
+type Change int
+
+// The changes.
+const (
+	Suspected    Change = iota // Member is silent or unreachable: it gets trials only
+	Trusted                    // Member answers again
+	PrimaryFound               // Member is its Group's primary, which was lost
+	PrimaryLost                // Group's primary is unknown
+)
+
+// words tells a Note for people.
+func (a *Action) words() string {
+	switch a.Change {
+	case Suspected:
+		return a.Member + " is suspect"
+	case Trusted:
+		return a.Member + " answers again"
+	case PrimaryFound:
+		return fmt.Sprintf("primary of group %d is %s", a.Group, a.Member)
+	}
+	return fmt.Sprintf("primary of group %d is unknown", a.Group)
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -124,11 +123,13 @@
 	}
 }
 
-func (r *Router) log(format string, args ...any) {
+// note tells of a change, once a second also in words.
+func (r *Router) note(c Change, g *group, member string) {
+	a := Action{Kind: Note, Change: c, Group: g.id, Member: member}
 	if r.now >= r.logAt {
-		r.logAt = r.now + logEvery
-		r.do(Action{Kind: Log, Text: fmt.Sprintf(format, args...)})
+		r.logAt, a.Text = r.now+logEvery, a.words()
 	}
+	r.do(a)
 }
 
 func (r *Router) take(e *Event) {
@@ -264,7 +265,7 @@
 	}
 	if m.role == Primary && m.group.lost {
 		m.group.lost = false
-		r.log("primary of group %d is %s", m.group.id, m.ID)
+		r.note(PrimaryFound, m.group, m.ID)
 	}
 }
 
@@ -707,7 +708,7 @@
 		}
 		if m.suspect {
 			m.suspect, m.trialGap = false, trialFirst
-			r.log("%s answers again", m.ID)
+			r.note(Trusted, m.group, m.ID)
 		}
 		if e.Result == Full {
 			r.cutLimit(m)
@@ -806,7 +807,7 @@
 	}
 	m.suspect, m.suspectAt, m.trialAt, m.overdue = true, r.now, r.now+m.trialGap, forever
 	m.limit = limitLeast * r.leastCost()
-	r.log("%s is suspect", m.ID)
+	r.note(Suspected, m.group, m.ID)
 }
 
 // await notes by when m must be heard of for a, so that silence shows also when attempts are called off
@@ -944,7 +945,7 @@
 	p := g.primary()
 	if p == nil && !g.lost {
 		g.lost = true
-		r.log("primary of group %d is unknown", g.id)
+		r.note(PrimaryLost, g, "")
 	}
 	if !r.cfg.MayProbe || p != nil && !p.suspect || r.now-g.wanted > 2*sweepEvery {
 		g.seekGap = seekEvery
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"reachwind/decide"
+	"reachwind/internal/record"
 )
 
 // Time is a point on the gateway's clock, since the start of Unix time, or a span on it.
@@ -66,6 +67,7 @@
 type Request struct {
 	Class, Tenant int // places in the settings; Tenant -1 = none
 	Group         int64
+	Front         string // which front it came by, in one word
 	Session       string
 	Written       Time // the session's last write where clients carry it, 0 = none
 	Retry         bool
@@ -74,6 +76,7 @@
 	Client        Client
 
 	id       uint64
+	arrived  Time
 	attempts []*Attempt
 	out      int
 	ended    bool
@@ -88,6 +91,13 @@
 	no      int
 	sent    Time
 	done    bool
+
+	// For records: how it ended, and what its member told.
+	result   decide.Result
+	role     decide.Role
+	position Time
+	lag      Time // age of what was known of the member at the send
+	hasLag   bool
 }
 
 // Outcome is how an attempt ended.
@@ -140,6 +150,7 @@
 	queue []func()
 	wake  chan struct{}
 
+	watch    *watch // nil: nobody wants records
 	requests map[uint64]*Request
 	lastID   uint64
 	timers   timers
@@ -190,6 +201,9 @@
 // Probed ends a probe.
 func (c *Core) Probed(member string, result decide.Result, r decide.Report) {
 	c.Post(func() {
+		if r.HasPosition {
+			c.watch.learn(member, r.Position)
+		}
 		c.events = append(c.events, decide.Event{Kind: decide.Probed, Member: member, Result: result, Report: r})
 	})
 }
@@ -203,6 +217,7 @@
 		}
 		if kind != decide.ListError {
 			c.members.List(kind, members)
+			c.watch.listed(c.Now(), kind, e.Members)
 		}
 		c.events = append(c.events, e)
 	})
@@ -260,6 +275,7 @@
 	q.id = c.lastID
 	c.requests[q.id] = q
 	now := c.Now()
+	q.arrived = now
 	e := decide.Event{Kind: decide.Arrive, Request: q.id, Class: q.Class, Tenant: q.Tenant, Group: q.Group,
 		Session: q.Session, IsRetry: q.Retry, Remaining: q.Until - now}
 	if q.Written > 0 {
@@ -270,13 +286,13 @@
 		if !q.ended { // guards the rule that each taken request gets an answer in time
 			c.log.Warn("deadline passed unanswered", "request", q.id)
 			c.events = append(c.events, decide.Event{Kind: decide.ClientGone, Request: q.id})
-			c.finish(q, Answer{Verdict: Failed})
+			c.finish(q, Answer{Verdict: Failed}, record.Deadline)
 		}
 	})
 }
 
-// finish gives a request its answer, unless it has one.
-func (c *Core) finish(q *Request, a Answer) {
+// finish gives a request its answer, unless it has one. The cause is for its record; none: it is seen from the attempts.
+func (c *Core) finish(q *Request, a Answer, why record.Cause) {
 	if q.ended {
 		if a.Body != nil {
 			a.Body.Release()
@@ -284,6 +300,9 @@
 		return
 	}
 	q.Client.Answer(a)
+	if c.watch != nil {
+		c.watch.answered(c.Now(), q, &a, why)
+	}
 	c.end(q)
 }
 
@@ -309,14 +328,20 @@
 		return
 	}
 	q := a.Request
-	a.done = true
+	a.done, a.result, a.role = true, o.Result, o.Role
+	if o.Stamped {
+		a.position = o.Position
+	}
 	q.out--
 	e := decide.Event{Kind: decide.Outcome, Request: q.id, Member: a.Member, Attempt: a.no, Result: o.Result,
 		Elapsed: c.Now() - a.sent, Ended: q.ended || o.Result == decide.Served, Reused: o.Reused,
 		Role: o.Role, Stamped: o.Stamped, Position: o.Position, Report: o.Report}
 	c.events = append(c.events, e)
+	if o.Stamped {
+		c.watch.learn(a.Member, o.Position)
+	}
 	if o.Result == decide.Served {
-		c.finish(q, Answer{Verdict: Served, Body: o.Body})
+		c.finish(q, Answer{Verdict: Served, Body: o.Body}, record.NoCause)
 	}
 	c.forget(q)
 }
@@ -333,11 +358,11 @@
 		}
 	case decide.Refuse:
 		if q != nil {
-			c.finish(q, Answer{Verdict: Refused, After: a.After})
+			c.finish(q, Answer{Verdict: Refused, After: a.After}, record.NoCause)
 		}
 	case decide.Fail:
 		if q != nil {
-			c.finish(q, Answer{Verdict: Failed})
+			c.finish(q, Answer{Verdict: Failed}, record.NoCause)
 		}
 	case decide.Probe:
 		c.members.Probe(a.Member)
@@ -347,8 +372,11 @@
 		c.directory.Watch()
 	case decide.Fetch:
 		c.directory.Fetch()
-	case decide.Log:
-		c.log.Info("decide: " + a.Text)
+	case decide.Note:
+		if a.Text != "" {
+			c.log.Info("decide: " + a.Text)
+		}
+		c.noted(a)
 	}
 }
 
@@ -366,6 +394,7 @@
 	if a.Timeout != 0 {
 		at.Until = min(at.Until, now+a.Timeout)
 	}
+	c.watch.sends(at)
 	q.attempts = append(q.attempts, at)
 	q.out++
 	if q.ended || q.out > 1 { // guards the rule against second copies, whatever the module says
--- a/cmd/reachwind/config.go
+++ b/internal/gateway/config.go
@@ -1,4 +1,4 @@
-package main
+package gateway
 
 import (
 	"encoding/json"
@@ -15,22 +15,23 @@
 	"reachwind/internal/settings"
 )
 
-// config is a gateway's configuration, read and checked.
-type config struct {
-	name, listen, discovery string
-	seed                    uint64
-	memory                  int64 // bytes, 0 = no limit
-	sockets                 int
-	known                   []core.Listed
-	version                 int64
-	facts                   *settings.Facts
-	decide                  *decide.Config
+// Config is a gateway's configuration, read and checked.
+type Config struct {
+	Name, Listen, Discovery string
+	Known                   []core.Listed
+	Decide                  *decide.Config
+
+	seed    uint64
+	memory  int64 // bytes, 0 = no limit
+	sockets int
+	version int64
+	facts   *settings.Facts
 }
 
 const defaultSockets = 1024
 
-// load reads the configuration at path. The environment fills in names that it leaves out.
-func load(path string) (*config, error) {
+// Load reads the configuration at path. The environment fills in names that it leaves out.
+func Load(path string) (*Config, error) {
 	if path == "" {
 		return nil, errors.New("no configuration: use --config or NODE_CONFIG")
 	}
@@ -38,14 +39,15 @@
 	if err != nil {
 		return nil, err
 	}
-	c, err := parse(text, os.Getenv)
+	c, err := Parse(text, os.Getenv)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return c, nil
 }
 
-func parse(text []byte, env func(string) string) (*config, error) {
+// Parse is Load for a text and an environment.
+func Parse(text []byte, env func(string) string) (*Config, error) {
 	var f struct {
 		Name, Listen, Discovery, Seed string
 		Limits                        struct {
@@ -58,20 +60,20 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, err
 	}
-	c := &config{name: f.Name, listen: f.Listen, discovery: f.Discovery, version: f.Known.Generation,
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, version: f.Known.Generation,
 		memory: int64(f.Limits.Memory * (1 << 20)), sockets: f.Limits.Sockets}
 	for _, v := range []struct {
 		to   *string
 		name string
-	}{{&c.name, "NODE_NAME"}, {&c.listen, "NODE_LISTEN"}, {&c.discovery, "NODE_DISCOVERY"}} {
+	}{{&c.Name, "NODE_NAME"}, {&c.Listen, "NODE_LISTEN"}, {&c.Discovery, "NODE_DISCOVERY"}} {
 		if *v.to == "" {
 			*v.to = env(v.name)
 		}
 	}
-	if _, _, err := net.SplitHostPort(c.listen); err != nil {
+	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	if _, _, err := net.SplitHostPort(c.discovery); err != nil {
+	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
 	if c.sockets == 0 {
@@ -86,14 +88,14 @@
 	} else if c.seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed: %q is no hexadecimal number", f.Seed)
 	}
-	if c.known, err = f.Known.Members(); err != nil {
+	if c.Known, err = f.Known.Members(); err != nil {
 		return nil, fmt.Errorf("known: %w", err)
 	}
 	if c.facts, err = settings.Parse(f.Settings); err != nil {
 		return nil, err
 	}
-	if c.decide, err = c.facts.Config(); err != nil {
+	if c.Decide, err = c.facts.Config(); err != nil {
 		return nil, err
 	}
-	return c, c.decide.Validate()
+	return c, c.Decide.Validate()
 }
--- /dev/null
+++ b/internal/gateway/edge.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"log/slog"
+	"os"
+	"strconv"
+	"time"
+
+	"reachwind/internal/core"
+	"reachwind/internal/edgeconf"
+	"reachwind/internal/logship"
+	"reachwind/internal/pgwire"
+)
+
+// Edge is the product configuration, read and checked. A part that is nil is off.
+type Edge struct {
+	Syslog *logship.Config
+}
+
+// LoadEdge reads the product configuration at path for a gateway. An error may hold many faults, see
+// edgeconf.Faults.
+func LoadEdge(path string, c *Config) (*Edge, error) {
+	e := new(Edge)
+	err := edgeconf.Load(path, func(b *edgeconf.Block) {
+		b.Blocks("syslog", false, func(b *edgeconf.Block) {
+			names := logship.Names{}
+			for i := range c.Decide.Classes {
+				names.Classes = append(names.Classes, c.Decide.Classes[i].Name)
+			}
+			for i := range c.Decide.Tenants {
+				names.Customers = append(names.Customers, c.Decide.Tenants[i].Name)
+			}
+			s := logship.Read(b, names)
+			if s.Syslog.Hostname == "" {
+				s.Syslog.Hostname = c.Name
+			}
+			s.Syslog.ProcID = strconv.Itoa(os.Getpid())
+			s.Seed = c.seed
+			e.Syslog = &s
+		})
+	})
+	if err != nil {
+		return nil, err
+	}
+	if e.Syslog != nil {
+		if err := e.Syslog.Defaults(); err != nil {
+			return nil, err
+		}
+	}
+	return e, nil
+}
+
+// Budget is how descriptors and memory are divided.
+type Budget struct {
+	Sockets int // of the gateway proper, after the parts took theirs
+	Clients int
+	Members int
+	Buffers int   // statements and answers
+	Memory  int64 // bytes, of the buffers
+	Parts   int64 // bytes that the parts of the product configuration hold at most
+	Files   int   // descriptors of these
+}
+
+// Budget divides the limits. Without parts it is the platform's division.
+func (c *Config) Budget(e *Edge) Budget {
+	var b Budget
+	memory := c.memory
+	if memory == 0 {
+		memory = freeMemory
+	}
+	if e.Syslog != nil {
+		b.Parts, b.Files = e.Syslog.Footprint()
+	}
+	b.Sockets = max(leastSockets, c.sockets-b.Files)
+	b.Clients, b.Members = int(clientPart*float64(b.Sockets)), int(memberPart*float64(b.Sockets))
+	b.Buffers = max(buffersLeast, int(bufferPart*float64(max(0, memory-b.Parts)))/pgwire.BufSize)
+	b.Memory = int64(b.Buffers) * pgwire.BufSize
+	return b
+}
+
+var errRestart = errors.New("a block that comes or goes takes a restart")
+
+// startSyslog starts the shipper and has the core and the log give it their records.
+func startSyslog(conf *logship.Config, owner *core.Core, cold time.Duration, o Options) (part, error) {
+	start := owner.Now()
+	key := make([]byte, 32) // sessions are told apart as long as this process lives, and by nobody else
+	if _, err := rand.Read(key); err != nil {
+		return part{}, err
+	}
+	own := o.Log
+	if o.Records != nil { // what the shipper itself says must not become records: it would feed itself
+		own = slog.New(o.Records.Handler)
+	}
+	fill := func(c logship.Config) logship.Config {
+		c.Syslog.Start, c.Syslog.Key, c.Syslog.Version = start, key, o.Version
+		return c
+	}
+	s, err := logship.New(fill(*conf), owner.Now, own)
+	if err != nil {
+		return part{}, err
+	}
+	owner.Observe(s, cold)
+	if o.Records != nil {
+		o.Records.SetSink(s)
+	}
+	return part{
+		name: "syslog",
+		prepare: func(e *Edge) (func(), error) {
+			if e.Syslog == nil {
+				return nil, errRestart
+			}
+			return s.Prepare(fill(*e.Syslog))
+		},
+		stop: func(ctx context.Context) {
+			if o.Records != nil {
+				o.Records.SetSink(nil)
+			}
+			dropped := s.Close(ctx)
+			counts, lost := s.Counts()
+			for _, c := range counts {
+				own.Info("collector done", "collector", c.Name, "made", c.Made, "handed_over", c.Handed, "on_disk", c.Disk, "waiting", c.Memory)
+			}
+			if dropped > 0 || lost > 0 {
+				own.Warn("records lost at the end", "waiting", dropped, "unrouted", lost)
+			}
+		},
+	}, nil
+}
--- a/cmd/reachwind/serve.go
+++ b/internal/gateway/gateway.go
@@ -1,4 +1,6 @@
-package main
+// Package gateway puts the parts of a gateway together: it starts them in order,
+// has them reread their configuration, and stops them in order under one deadline.
+package gateway
 
 import (
 	"context"
@@ -9,6 +11,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -18,6 +21,7 @@
 	"reachwind/internal/pgfront"
 	"reachwind/internal/pgmember"
 	"reachwind/internal/pgwire"
+	"reachwind/internal/record"
 )
 
 const (
@@ -34,6 +38,7 @@
 	softPart      = 0.8  // of the memory, above which the collector works harder
 	garbagePart   = 25   // per cent of what is in use: buffers are most of that, and garbage may grow with it
 	freeMemory    = 512 << 20
+	partsMost     = 2 * time.Second        // what other parts may take to end, after the last client has
 	acceptAfter   = 500 * time.Millisecond // clients keep coming for 0.4 s after SIGTERM
 	lastMoment    = 600 * time.Millisecond // past the longest deadline; SIGKILL may come 0.1 s later
 	connectUsual  = 250 * time.Millisecond
@@ -48,9 +53,18 @@
 	bufferReserve = 0.15 // of the buffers, for the members' answers, which hold them for moments only
 )
 
-// serve runs the gateway until SIGTERM or SIGINT, then winds it down. SIGHUP has
-// it read the configuration at path again; until the very end, as it would end the program.
-func serve(c *config, path string, log *slog.Logger) error {
+// Options are what the command line says.
+type Options struct {
+	Path    string // of the configuration, for SIGHUP
+	Edge    string // of the product configuration; empty: none, and no part of it runs
+	Version string
+	Log     *slog.Logger
+	Records *record.Handler // that Log goes through; takes the sink of records
+}
+
+// Serve runs the gateway until SIGTERM or SIGINT, then winds it down. SIGHUP has
+// it read its configuration again; until the very end, as it would end the program.
+func Serve(c *Config, o Options) error {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
@@ -60,54 +74,100 @@
 		debug.SetMemoryLimit(int64(softPart * float64(c.memory)))
 		debug.SetGCPercent(garbagePart)
 	}
-	listener, err := net.Listen("tcp", c.listen)
+	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = listener.Close() }()
-	return run(term, hup, c, path, listener, log)
+	return Run(term, hup, c, listener, o)
+}
+
+// part is a subsystem of the product configuration.
+type part struct {
+	name string
+	// prepare checks a new configuration; apply takes it over. Where it runs and the new one has it no more, or
+	// the other way round, that is an error: it takes a restart.
+	prepare func(*Edge) (apply func(), err error)
+	stop    func(context.Context)
+}
+
+// running is a gateway at work.
+type running struct {
+	o     Options
+	c     *Config
+	dir   *discovery.Client
+	parts []part
 }
 
-// reload takes from the configuration what may change while the gateway runs.
-// A file that cannot be used changes nothing.
-func reload(path string, dir *discovery.Client, log *slog.Logger) {
-	c, err := load(path)
+// reload takes from the configuration what may change while the gateway runs: all of it, or nothing where any
+// part of it can't be used.
+func (g *running) reload() {
+	c, err := Load(g.o.Path)
+	var apply []func()
+	if err == nil && g.o.Edge != "" {
+		var edge *Edge
+		if edge, err = LoadEdge(g.o.Edge, g.c); err == nil {
+			for _, p := range g.parts {
+				f, e := p.prepare(edge)
+				if err = e; err != nil {
+					err = fmt.Errorf("%s: %w", p.name, err)
+					break
+				}
+				apply = append(apply, f)
+			}
+		}
+	}
 	if err != nil {
-		log.Error("reload failed, the old configuration holds", "err", err)
+		g.o.Log.Error("reload failed, the old configuration holds", "err", err)
 		return
 	}
-	log.Info("reloaded", "discovery", c.discovery)
-	dir.Move(c.discovery)
+	for _, f := range apply {
+		f()
+	}
+	g.o.Log.Info("reloaded", "discovery", c.Discovery)
+	g.dir.Move(c.Discovery)
 }
 
-// run serves listener until term ends.
-func run(term context.Context, hup <-chan os.Signal, c *config, path string, listener net.Listener, log *slog.Logger) error {
-	router, err := decide.New(*c.decide, c.seed)
+// Run serves listener until term ends.
+func Run(term context.Context, hup <-chan os.Signal, c *Config, listener net.Listener, o Options) error {
+	log := o.Log
+	edge := new(Edge)
+	if o.Edge != "" {
+		var err error
+		if edge, err = LoadEdge(o.Edge, c); err != nil {
+			return err
+		}
+	}
+	router, err := decide.New(*c.Decide, c.seed)
 	if err != nil {
 		return err
 	}
-	memory := c.memory
-	if memory == 0 {
-		memory = freeMemory
-	}
+	share := c.Budget(edge)
 	f := c.facts
-	buffers := max(buffersLeast, int(bufferPart*float64(memory))/pgwire.BufSize)
-	bufs := pgwire.NewPool(buffers)
+	bufs := pgwire.NewPool(share.Buffers)
 	owner := core.New(core.NewClock(), router, log)
 	pool := pgmember.New(owner, pgmember.Config{User: user, Database: database,
-		Max:     int(memberPart * float64(c.sockets)),
+		Max:     share.Members,
 		Idle:    span(f.Allowed.IdleCloseUs, idleUsual),
 		Connect: span(f.Allowed.ConnectTimeoutUs, connectUsual),
 		Grace:   span(f.Rules.StopSendingWithinUs, graceUsual), DrainOnly: f.Rules.DrainBindsAlone,
 		Names: f.Feedback.Names}, bufs, pgmember.Dial, log)
-	dir := discovery.New(c.discovery, c.version, owner.List, pgmember.Dial, log)
+	dir := discovery.New(c.Discovery, c.version, owner.List, pgmember.Dial, log)
 	owner.Connect(pool, dir)
-	owner.List(decide.ListSaved, c.known)
-	front := pgfront.New(owner, pgfront.Config{Classes: c.decide.Classes, Tenants: c.decide.Tenants,
-		Max: int(clientPart * float64(c.sockets)), Spare: int(sparePart * float64(c.sockets)),
-		ComeBack:  c.decide.MaxRetryAfter,
-		Keep:      int(bufferReserve * float64(buffers)),
-		StartWait: startWait, WriteWait: writeWait, RefuseWait: refuseWait, IdleMost: idleMost, IdleKeep: int(idlePart * float64(c.sockets))}, bufs, log)
+	g := &running{o: o, c: c, dir: dir}
+	if edge.Syslog != nil {
+		p, err := startSyslog(edge.Syslog, owner, c.Decide.ColdTime, o)
+		if err != nil {
+			return fmt.Errorf("syslog: %w", err)
+		}
+		g.parts = append(g.parts, p)
+	}
+	owner.List(decide.ListSaved, c.Known)
+	front := pgfront.New(owner, pgfront.Config{Classes: c.Decide.Classes, Tenants: c.Decide.Tenants,
+		Max: share.Clients, Spare: int(sparePart * float64(share.Sockets)),
+		ComeBack:  c.Decide.MaxRetryAfter,
+		Keep:      int(bufferReserve * float64(share.Buffers)),
+		StartWait: startWait, WriteWait: writeWait, RefuseWait: refuseWait, IdleMost: idleMost, IdleKeep: int(idlePart * float64(share.Sockets))}, bufs, log)
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -117,7 +177,7 @@
 		for {
 			select {
 			case <-hup:
-				reload(path, dir, log)
+				g.reload()
 			case <-ctx.Done():
 				return
 			}
@@ -125,22 +185,33 @@
 	}()
 	failed := make(chan error, 1)
 	go func() { failed <- front.Serve(listener) }()
-	log.Info("serving", "name", c.name, "listen", listener.Addr().String(), "members", len(c.known), "version", version)
+	log.Info("serving", "name", c.Name, "listen", listener.Addr().String(), "members", len(c.Known), "version", o.Version)
 
 	select {
 	case err := <-failed:
 		return fmt.Errorf("accept: %w", err)
 	case <-term.Done():
 	}
-	return windDown(c, front, listener, log)
+	err = windDown(c, front, listener, log)
+	g.stop()
+	return err
+}
+
+// stop ends the parts in the reverse order of their start, all under one deadline.
+func (g *running) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), partsMost)
+	defer cancel()
+	for _, p := range slices.Backward(g.parts) {
+		p.stop(ctx)
+	}
 }
 
 // windDown keeps accepting while clients may still be sent here, then answers
 // what was taken and ends when all connections are gone, at the latest before
 // the platform would end it.
-func windDown(c *config, front *pgfront.Server, listener net.Listener, log *slog.Logger) error {
+func windDown(c *Config, front *pgfront.Server, listener net.Listener, log *slog.Logger) error {
 	log.Info("stopping", "accept_for", acceptAfter)
-	late := time.After(lastCall(c.decide.Classes))
+	late := time.After(lastCall(c.Decide.Classes))
 	time.Sleep(acceptAfter)
 	_ = listener.Close()
 	done := make(chan struct{})
--- /dev/null
+++ b/internal/logship/collector.go
@@ -0,0 +1,322 @@
+package logship
+
+import (
+	"net/url"
+	"path/filepath"
+	"time"
+
+	"reachwind/internal/logqueue"
+	"reachwind/internal/logroute"
+	"reachwind/internal/often"
+	"reachwind/internal/spool"
+	"reachwind/internal/tlskeys"
+)
+
+// collector is one collector: what waits for it, and the goroutine that runs its
+// connection. Under the shipper's lock stand conf, keys, at, change and stream.
+type collector struct {
+	s      *Shipper
+	name   string
+	conf   Collector
+	keys   *tlskeys.Store
+	at     int // its place, -1 once it is taken out of the configuration
+	change int // counts new settings: the connection is made anew
+	stream *logqueue.Stream
+	disk   *disk // nil: no spool
+
+	wake    chan struct{}
+	leaving chan struct{} // closed when it is taken out
+	ended   chan struct{} // closed when its connection's goroutine has ended
+
+	warned time.Time // of the certificate's end
+	fails  often.Line
+}
+
+func (s *Shipper) newCollector(k *Collector, keys *tlskeys.Store, conf *Config) *collector {
+	c := &collector{s: s, name: k.Name, conf: *k, keys: keys, wake: make(chan struct{}, 1), leaving: make(chan struct{}), ended: make(chan struct{})}
+	first := uint64(1)
+	if conf.Spool != "" {
+		c.disk = &disk{c: c, fs: spool.Dir(SpoolDir(conf.Spool, k.Name)), wake: make(chan struct{}, 1), o: spool.Options{
+			Owner: conf.Syslog.Hostname + "/" + k.Name, Most: conf.Disk / int64(len(conf.Collectors)), Age: conf.MaxAge}}
+		first = c.disk.first()
+	}
+	c.stream = logqueue.New(conf.stream(k), first)
+	return c
+}
+
+// SpoolDir is the folder of one collector's spool.
+func SpoolDir(dir, collector string) string {
+	return filepath.Join(dir, "c-"+url.PathEscape(collector))
+}
+
+func (c *collector) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// refresh looks whether the certificates have changed; if so the connection is made anew.
+func (c *collector) refresh() {
+	c.s.mu.Lock()
+	keys, name := c.keys, c.name
+	c.s.mu.Unlock()
+	if keys == nil {
+		return
+	}
+	changed, err := keys.Refresh()
+	if err != nil {
+		c.s.log.Error("certificates refused, the old ones hold", "collector", name, "err", err)
+	}
+	if changed {
+		c.s.log.Info("certificates changed", "collector", name, "until", keys.Now().Expiry)
+		c.warned = time.Time{}
+		c.signal()
+	}
+	c.expiry()
+}
+
+// expiry warns once a day of a certificate that ends soon.
+func (c *collector) expiry() {
+	c.s.mu.Lock()
+	keys, ahead := c.keys, c.s.conf.WarnExpiry
+	c.s.mu.Unlock()
+	if keys == nil || time.Since(c.warned) < 24*time.Hour {
+		return
+	}
+	if end := keys.Now().Expiry; !end.IsZero() && time.Until(end) < ahead {
+		c.warned = time.Now()
+		c.s.log.Warn("a certificate ends soon", "collector", c.name, "at", end)
+	}
+}
+
+// leave has a collector end that was taken out: what waits goes to others where its routes say so, the rest has
+// leaveTime. The caller holds the lock.
+func (c *collector) leave(s *Shipper) {
+	c.at = -1
+	close(c.leaving)
+	c.signal()
+}
+
+// run is the goroutine of the connection.
+func (c *collector) run() {
+	defer c.s.done.Done()
+	if c.disk != nil {
+		ended := make(chan struct{})
+		go func() {
+			c.disk.run()
+			close(ended)
+		}()
+		defer func() { <-ended }()
+	}
+	defer close(c.ended)
+	for {
+		l, change := c.connect()
+		if l == nil {
+			break
+		}
+		if !c.serve(l, change) {
+			break
+		}
+	}
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	c.stream.Ended(false)
+	if c.at >= 0 {
+		return
+	}
+	c.s.down(c)
+	if n := c.stream.Abandon(logqueue.Removed, c.disk != nil); n > 0 || c.stream.OnDisk() > 0 {
+		c.s.log.Warn("a collector was taken out with records waiting", "collector", c.name, "dropped", n, "kept_on_disk", c.stream.OnDisk())
+	}
+}
+
+// over tells whether nothing more is to be sent. The caller holds the lock.
+func (c *collector) over() bool {
+	select {
+	case <-c.s.ctx.Done():
+		return true
+	default:
+	}
+	memory, _ := c.stream.Waiting()
+	select {
+	case <-c.s.ending:
+		select {
+		case <-c.s.routed:
+			return memory == 0 && !c.stream.Untold()
+		default:
+			return false
+		}
+	case <-c.leaving:
+		return memory == 0
+	default:
+		return false
+	}
+}
+
+// connect returns a connection, nil when none is wanted any more.
+func (c *collector) connect() (*link, int) {
+	s := c.s
+	for {
+		s.mu.Lock()
+		if c.over() || c.at < 0 {
+			s.mu.Unlock()
+			return nil, 0
+		}
+		wait := s.circuits.Try(s.now(), c.at)
+		conf, keys, change := c.conf, c.keys, c.change
+		s.mu.Unlock()
+		if wait > 0 {
+			t := time.NewTimer(wait)
+			select {
+			case <-t.C:
+			case <-s.ctx.Done():
+			case <-c.leaving:
+			}
+			t.Stop()
+			continue
+		}
+		l, err := dial(s.ctx, &conf, keys)
+		s.mu.Lock()
+		if c.at < 0 {
+			s.mu.Unlock()
+			if err == nil {
+				l.close()
+			}
+			return nil, 0
+		}
+		if err == nil {
+			s.circuits.Connected(s.now(), c.at)
+			s.mu.Unlock()
+			s.log.Info("collector connected", "collector", conf.Name, "address", conf.Address)
+			return l, change
+		}
+		c.broken(nil)
+		s.mu.Unlock()
+		c.fails.Warn(s.log, "collector connect failed", "collector", conf.Name, "address", conf.Address, "err", err)
+	}
+}
+
+// broken books that a connection failed. The caller holds the lock.
+func (c *collector) broken(l *link) {
+	if l != nil {
+		c.stream.Confirm(l.confirmed())
+		l.close()
+	}
+	if c.at >= 0 {
+		c.s.circuits.Failed(c.s.now(), c.at)
+	}
+	c.stream.Ended(false)
+	if c.at >= 0 {
+		c.s.down(c)
+	}
+}
+
+const (
+	pollTime = 5 * time.Millisecond // the kernel does not tell when it is confirmed
+	pollMost = 200 * time.Millisecond
+)
+
+// serve sends what waits until the connection ends, and tells whether another is wanted.
+func (c *collector) serve(l *link, change int) bool {
+	s := c.s
+	var batch []*logqueue.Entry
+	poll := pollTime
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	leaveBy := time.Time{}
+	for {
+		s.mu.Lock()
+		c.stream.Confirm(l.confirmed())
+		left := c.at < 0
+		if left && leaveBy.IsZero() {
+			leaveBy = time.Now().Add(leaveTime)
+		}
+		over := c.over() || !leaveBy.IsZero() && time.Now().After(leaveBy)
+		if over || c.change != change || c.keys != nil && c.keys.Now().Next != l.keys {
+			s.mu.Unlock()
+			return c.end(l) && !over
+		}
+		phase := logroute.Working
+		if c.at >= 0 {
+			phase = s.circuits.Phase(s.now(), c.at)
+		}
+		ending := false
+		select {
+		case <-s.ending:
+			ending = true
+		default:
+		}
+		s.gaps(c, ending)
+		now := s.now()
+		batch = c.stream.Batch(now, batchBytes, phase == logroute.Working, batch[:0])
+		if len(batch) > 0 {
+			s.mu.Unlock()
+			err := l.write(batch)
+			s.mu.Lock()
+			if err != nil {
+				c.broken(l)
+				s.mu.Unlock()
+				c.fails.Warn(s.log, "collector connection broke", "collector", c.name, "err", err)
+				return true
+			}
+			c.stream.Wrote(l.sent.Load())
+			c.stream.Confirm(l.confirmed())
+			s.mu.Unlock()
+			clear(batch)
+			poll = pollTime
+			continue
+		}
+		wait := c.stream.Wait(now)
+		switch {
+		case phase == logroute.Trial && wait >= 0:
+			wait = 100 * time.Millisecond
+		case wait == 0: // the window is full
+			wait = pollTime
+		}
+		if c.stream.Unconfirmed() > 0 && (wait < 0 || wait > poll) {
+			wait, poll = poll, min(2*poll, pollMost)
+		}
+		if c.stream.Untold() && (wait < 0 || wait > gapTime) {
+			wait = gapTime
+		}
+		if c.disk != nil && c.stream.WantsLoad(loadBytes) > 0 {
+			c.disk.signal()
+		}
+		s.mu.Unlock()
+		if left && (wait < 0 || wait > pollMost) {
+			wait = pollMost
+		}
+		if wait >= 0 {
+			timer.Reset(wait)
+		}
+		select {
+		case <-c.wake:
+		case <-timer.C:
+		case <-s.ctx.Done():
+		case <-l.gone:
+			s.mu.Lock()
+			c.broken(l)
+			s.mu.Unlock()
+			c.fails.Warn(s.log, "collector connection broke", "collector", c.name, "err", "closed by the collector")
+			return true
+		}
+	}
+}
+
+// end ends a connection as planned. What its peer's kernel does not confirm goes again.
+func (c *collector) end(l *link) bool {
+	all := l.finish(closeTime)
+	s := c.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.stream.Confirm(l.confirmed())
+	if all {
+		c.stream.Confirm(l.sent.Load())
+	}
+	c.stream.Ended(all)
+	if c.at >= 0 {
+		s.circuits.Closed(s.now(), c.at)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/logship/edge.go
@@ -0,0 +1,141 @@
+package logship
+
+import (
+	"math"
+	"time"
+
+	"reachwind/internal/edgeconf"
+	"reachwind/internal/logroute"
+	"reachwind/internal/record"
+	"reachwind/internal/syslog"
+	"reachwind/internal/tlskeys"
+)
+
+// Names are what routes may name, by their places in records.
+type Names struct{ Classes, Customers []string }
+
+const (
+	sizeMost  = 1 << 40
+	spanMost  = 366 * 24 * time.Hour
+	routeMost = 64
+)
+
+// Read reads the syslog block. Faults go to the block; the configuration is of use only if there were none.
+func Read(b *edgeconf.Block, names Names) Config {
+	c := Config{
+		Syslog: syslog.Config{
+			Hostname:   b.Text("hostname", ""),
+			AppName:    b.Text("app_name", "reachwind"),
+			Enterprise: int(b.Int("enterprise", 32473, 1, math.MaxUint32)),
+			MaxBytes:   int(b.Int("max_bytes", syslog.UsualMax, syslog.LeastMax, 32<<10)),
+			Facility:   16 + int(b.Int("facility_local", 0, 0, 7)),
+			Synced:     b.Bool("clock_synced", false),
+			Classes:    names.Classes,
+			Tenants:    names.Customers,
+		},
+		Linger:     b.Span("linger", 0, time.Millisecond, time.Second),
+		WarnExpiry: b.Span("warn_expiry", 0, time.Hour, spanMost),
+		Resend:     int(b.Size("resend", 0, 0, 1<<30)),
+		CatchUp:    b.Number("catch_up", 0, 1, 1e9),
+	}
+	b.Blocks("queue", false, func(q *edgeconf.Block) {
+		c.Memory = int(q.Size("memory", 0, memoryLeast, 1<<32))
+		c.Spool = q.File("spool")
+		c.Disk = q.Size("disk", 0, diskLeast, sizeMost)
+		c.MaxAge = q.Span("max_age", 0, time.Second, spanMost)
+		c.Sync = q.Span("sync", 0, 10*time.Millisecond, time.Minute)
+		if c.Spool == "" {
+			for _, n := range []string{"disk", "max_age", "sync"} {
+				if q.Has(n) {
+					q.FaultAt(n, "%s is for a spool, and none is named", n)
+				}
+			}
+		}
+	})
+	known := map[string]int{}
+	var blocks []*edgeconf.Block
+	b.Blocks("collector", true, func(k *edgeconf.Block) {
+		known[k.Label] = len(c.Collectors)
+		blocks = append(blocks, k)
+		c.Collectors = append(c.Collectors, Collector{Name: k.Label, Address: k.Text("address", ""),
+			Transport: Transport(k.One("transport", string(TCP), string(UDP), string(TCP), string(TLS))),
+			Framing:   Framing(k.One("framing", "", string(Octets), string(LF))),
+			Files:     tlskeys.Files{Cert: k.File("cert"), Key: k.File("key"), CA: k.File("ca")}, ServerName: k.Text("server_name", ""),
+			Fingerprints: k.Texts("fingerprints"),
+			Connect:      k.Span("connect_wait", 0, 10*time.Millisecond, time.Minute),
+			Write:        k.Span("write_wait", 0, 10*time.Millisecond, time.Minute)})
+		probe := c.Collectors[len(c.Collectors)-1]
+		if err := probe.defaults(); err != nil {
+			k.Fault("collector %q: %v", k.Label, err)
+		} else if probe.Transport == TLS {
+			if _, err := tlskeys.Open(probe.Files); err != nil {
+				k.Fault("collector %q: %v", k.Label, err)
+			}
+		}
+	})
+	customers := append([]string{""}, names.Customers...)
+	b.Blocks("route", true, func(r *edgeconf.Block) {
+		route := Route{Collectors: r.Texts("to")}
+		route.Name = r.Label
+		for _, i := range r.Some("kind", record.Kinds[:record.Gap]) {
+			route.Kinds = append(route.Kinds, record.Kind(i))
+		}
+		severity := r.One("severity", "", record.Severities[record.Err:]...)
+		for i, s := range record.Severities {
+			if s == severity {
+				route.Severity = record.Severity(i)
+			}
+		}
+		route.Classes = r.Some("class", names.Classes)
+		for _, i := range r.Some("customer", customers) {
+			route.Customers = append(route.Customers, i-1)
+		}
+		for _, i := range r.Some("outcome", record.Outcomes[:]) {
+			route.Outcomes = append(route.Outcomes, record.Outcome(i))
+		}
+		route.Members = r.Texts("member")
+		route.Rate = r.Number("rate", 0, 0, 1e9)
+		route.Sample = r.Number("sample", 0, 0, 1)
+		if r.Has("sample") && route.Sample == 0 {
+			r.FaultAt("sample", "sample is 0, want a part above it: leave the route out to send nothing")
+		}
+		mode := r.One("mode", "all", logroute.Modes[:]...)
+		for i, m := range logroute.Modes {
+			if m == mode {
+				route.Mode = logroute.Mode(i)
+			}
+		}
+		route.Continue = r.Bool("continue", false)
+		for i, to := range route.Collectors {
+			if _, ok := known[to]; !ok {
+				r.FaultAt("to", "route %q: there is no collector %q", r.Label, to)
+			}
+			for _, before := range route.Collectors[:i] {
+				if before == to {
+					r.FaultAt("to", "route %q names collector %q twice", r.Label, to)
+				}
+			}
+		}
+		if len(route.Collectors) == 0 {
+			r.FaultAt("to", "route %q names no collector, want at least one in to", r.Label)
+		}
+		if c.Routes = append(c.Routes, route); len(c.Routes) > routeMost {
+			r.Fault("%d routes, want %d at most", len(c.Routes), routeMost)
+		}
+	})
+	if len(c.Collectors) == 0 || len(c.Routes) == 0 {
+		b.Fault("syslog has %d collectors and %d routes, want at least one of each", len(c.Collectors), len(c.Routes))
+		return c
+	}
+	probe := c
+	probe.Collectors = append([]Collector(nil), c.Collectors...)
+	probe.Routes = append([]Route(nil), c.Routes...)
+	usual(&probe.Memory, memoryUsual)
+	if _, err := syslog.New(probe.Syslog); err != nil {
+		b.Fault("syslog: %v", err)
+	}
+	if least := memoryLeast * len(c.Collectors); probe.Memory < least {
+		b.Fault("memory is %s, want at least %s for %d collectors", edgeconf.FormatSize(int64(probe.Memory)), edgeconf.FormatSize(int64(least)), len(c.Collectors))
+	}
+	return c
+}
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -390,7 +390,7 @@
 	if !ok {
 		tenant = -1
 	}
-	q := &core.Request{Class: class, Tenant: tenant, Group: st.Cluster, Retry: st.Retry,
+	q := &core.Request{Class: class, Tenant: tenant, Front: "pg", Group: st.Cluster, Retry: st.Retry,
 		Written: core.Time(st.After) * time.Millisecond, Call: st,
 		Until: came + min(core.Time(min(st.Wait, maxWait))*time.Millisecond, k.Deadline)}
 	if k.HasSession() {
--- /dev/null
+++ b/internal/record/roster.go
@@ -0,0 +1,62 @@
+package record
+
+import (
+	"time"
+
+	"reachwind/decide"
+)
+
+// rosterMost bounds the members that are followed; changes of others are not told.
+const rosterMost = 1024
+
+// Roster follows what lists say of members and tells what changed: draining,
+// gone, cold, ready. Its zero value is not ready; use NewRoster. It reads no
+// clock and is not safe for concurrent use.
+type Roster struct {
+	cold  time.Duration
+	known map[string]decide.Member
+}
+
+// NewRoster returns a roster for members that are warm so long after their start.
+func NewRoster(cold time.Duration) *Roster {
+	return &Roster{cold: cold, known: map[string]decide.Member{}}
+}
+
+// Take takes a list, whole or of changes only, and calls tell for each change in the list's order; members
+// that a whole list no longer names come last, in no order.
+func (r *Roster) Take(now time.Duration, whole bool, list []decide.Member, tell func(m decide.Member, c Change)) {
+	named := make(map[string]bool, len(list))
+	for _, m := range list {
+		named[m.ID] = true
+		was, known := r.known[m.ID]
+		switch {
+		case m.State == decide.Removed:
+			if known {
+				delete(r.known, m.ID)
+				tell(m, Gone)
+			}
+			continue
+		case !known && len(r.known) >= rosterMost:
+			continue
+		}
+		r.known[m.ID] = m
+		if m.Started > was.Started && now < m.Started+r.cold {
+			tell(m, Cold)
+		}
+		switch {
+		case m.State == decide.Draining && (!known || was.State != decide.Draining):
+			tell(m, Draining)
+		case m.State == decide.Up && (!known || was.State == decide.Draining):
+			tell(m, Ready)
+		}
+	}
+	if !whole {
+		return
+	}
+	for id, m := range r.known {
+		if !named[id] {
+			delete(r.known, id)
+			tell(m, Gone)
+		}
+	}
+}
