Stand-in cluster, load by an open loop and experiments in windlab

Change: internal/standin/cluster (groups, lag, faults, elections, discovery with watches), pgclient, certs; internal/lab load (open loop, HDR histograms, latency from the planned time) and proc (real gateways and what they cost); windlab members, load and run with syslog-surge, spool-kill, keys and cost. Entries of a stream are used again, and are noted for the disk only where there is one: without a spool that list was never emptied, and grew with every record.

--- /dev/null
+++ b/internal/lab/proc/proc.go
@@ -0,0 +1,167 @@
+// Package proc starts real gateways for experiments and looks at what they cost.
+package proc
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Gateway is a gateway's process.
+type Gateway struct {
+	Addr string
+	cmd  *exec.Cmd
+	log  *tail
+	done chan struct{}
+	err  error
+}
+
+// tail keeps the last of what is written to it.
+type tail struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+const tailMost = 1 << 20
+
+func (t *tail) Write(p []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.buf.Len() > tailMost {
+		t.buf.Next(tailMost / 2)
+	}
+	return t.buf.Write(p)
+}
+
+// Binary is where the gateway's program lies: beside this one, or in bin under the current folder.
+func Binary() (string, error) {
+	me, err := os.Executable()
+	if err != nil {
+		return "", err
+	}
+	for _, p := range []string{filepath.Join(filepath.Dir(me), "reachwind"), "bin/reachwind"} {
+		if _, err := os.Stat(p); err == nil {
+			return filepath.Abs(p)
+		}
+	}
+	return "", errors.New("no reachwind beside this program or in bin: build first")
+}
+
+// Start starts a gateway with a configuration that it writes into dir, and an edge configuration unless that
+// is empty, and waits until it serves.
+func Start(binary, dir string, config []byte, edge string) (*Gateway, error) {
+	path := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(path, config, 0o600); err != nil {
+		return nil, err
+	}
+	args := []string{"serve", "--config", path}
+	if edge != "" {
+		file := filepath.Join(dir, "edge.hcl")
+		if err := os.WriteFile(file, []byte(edge), 0o600); err != nil {
+			return nil, err
+		}
+		args = append(args, "--edge", file)
+	}
+	g := &Gateway{cmd: exec.Command(binary, args...), log: new(tail), done: make(chan struct{})}
+	g.cmd.Stderr = g.log
+	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := g.cmd.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		g.err = g.cmd.Wait()
+		close(g.done)
+	}()
+	for range 500 {
+		if _, rest, ok := strings.Cut(g.Log(), "msg=serving"); ok {
+			if _, rest, ok = strings.Cut(rest, "listen="); ok {
+				g.Addr, _, _ = strings.Cut(rest, " ")
+				return g, nil
+			}
+		}
+		select {
+		case <-g.done:
+			return nil, fmt.Errorf("the gateway ended: %w: %s", g.err, g.Log())
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	g.Kill()
+	return nil, errors.New("the gateway does not serve after 5 s")
+}
+
+// Log is the last of what the gateway wrote.
+func (g *Gateway) Log() string {
+	g.log.mu.Lock()
+	defer g.log.mu.Unlock()
+	return g.log.buf.String()
+}
+
+// Signal sends a signal.
+func (g *Gateway) Signal(s os.Signal) { _ = g.cmd.Process.Signal(s) }
+
+// Kill ends the process at once.
+func (g *Gateway) Kill() {
+	_ = g.cmd.Process.Kill()
+	<-g.done
+}
+
+// Stop ends the process in order, within so long.
+func (g *Gateway) Stop(within time.Duration) error {
+	g.Signal(syscall.SIGTERM)
+	select {
+	case <-g.done:
+		return g.err
+	case <-time.After(within):
+		g.Kill()
+		return errors.New("the gateway did not end in time")
+	}
+}
+
+// Cost is what a process has used and holds.
+type Cost struct {
+	CPU       time.Duration
+	Resident  int // bytes
+	Anonymous int // bytes of it that belong to no file
+}
+
+// Cost reads what the gateway has used.
+func (g *Gateway) Cost() (Cost, error) { return CostOf(g.cmd.Process.Pid) }
+
+// CostOf reads what a process has used.
+func CostOf(pid int) (c Cost, err error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return c, err
+	}
+	f := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+	const user, system, hz = 11, 12, 100 // of what follows the name; clock ticks a second
+	u, _ := strconv.Atoi(f[user])
+	s, _ := strconv.Atoi(f[system])
+	c.CPU = time.Duration(u+s) * time.Second / hz
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return c, err
+	}
+	for line := range strings.Lines(string(status)) {
+		f := strings.Fields(line)
+		if len(f) < 2 {
+			continue
+		}
+		kb, _ := strconv.Atoi(f[1])
+		switch f[0] {
+		case "VmRSS:":
+			c.Resident = kb << 10
+		case "RssAnon:":
+			c.Anonymous = kb << 10
+		}
+	}
+	return c, nil
+}
--- a/internal/logqueue/stream.go
+++ b/internal/logqueue/stream.go
@@ -51,6 +51,7 @@
 	Resend  int     // bytes confirmed that are kept to go again
 	CatchUp float64 // records a second of what was queued before the collector came back
 	GapTime Time    // between two gap records of one cause
+	Disk    bool    // Unsaved and Saved are called
 }
 
 // Overhead is what an entry is counted with on top of its message.
@@ -131,6 +132,12 @@
 	told        Time
 }
 
+// pushed names an entry as long as it is that record's: entries are used again.
+type pushed struct {
+	e   *Entry
+	seq uint64
+}
+
 // Stream is what waits for one collector.
 type Stream struct {
 	c       Config
@@ -144,7 +151,8 @@
 	conf    int                   // how many of the window are confirmed
 	confLen int                   // their bytes
 	outLen  int                   // bytes of the rest of the window
-	unsaved []*Entry              // in the order pushed
+	unsaved []pushed              // in the order pushed
+	free    []*Entry              // for Get
 	done    []uint64              // saved ones that need be kept no longer
 	onDisk  int                   // waiting on disk only
 	held    map[uint64]*Entry     // in memory and on disk; nil: in done
@@ -201,6 +209,33 @@
 	s.drops[cause].Count += count
 }
 
+const freeMost = 256
+
+// Get returns an entry to fill in for Push, with room from one that has left.
+func (s *Stream) Get() *Entry {
+	if n := len(s.free); n > 0 {
+		e := s.free[n-1]
+		s.free = s.free[:n-1]
+		return e
+	}
+	return new(Entry)
+}
+
+// recycle keeps an entry that nobody holds any more for Get.
+func (s *Stream) recycle(e *Entry) {
+	if !e.saving && len(s.free) < freeMost {
+		*e = Entry{Msg: e.Msg[:0]}
+		s.free = append(s.free, e)
+	}
+}
+
+// unsave notes that an entry is to be written to disk.
+func (s *Stream) unsave(e *Entry) {
+	if s.c.Disk {
+		s.unsaved = append(s.unsaved, pushed{e, e.Seq})
+	}
+}
+
 // Push queues an entry under the next number, which its message bears already, and makes room for it.
 func (s *Stream) Push(e *Entry) {
 	e.Seq = s.next
@@ -215,14 +250,16 @@
 		if v == nil {
 			s.drop(Memory, e.Seq, 1)
 			e.state = left
+			s.recycle(e)
 			return
 		}
-		s.remove(v)
 		s.drop(Memory, v.Seq, 1)
+		s.remove(v)
+		s.recycle(v)
 	}
 	s.bytes += e.size()
 	s.fresh[e.Worth].push(e)
-	s.unsaved = append(s.unsaved, e)
+	s.unsave(e)
 }
 
 // shelve lets the oldest entry that is on disk go from memory and tells whether there was one. What may have
@@ -247,6 +284,7 @@
 	s.unhold(best)
 	s.bytes -= best.size()
 	s.onDisk++
+	s.recycle(best)
 	return true
 }
 
@@ -436,6 +474,7 @@
 	s.confLen -= e.size()
 	s.bytes -= e.size()
 	e.state = left
+	s.recycle(e)
 }
 
 // Unconfirmed counts the bytes written and not confirmed.
@@ -460,7 +499,7 @@
 			if _, held := s.held[e.Seq]; held { // it is on disk yet, and to be kept there after all
 				s.hold(e)
 			} else if !e.saved && !e.saving {
-				s.unsaved = append(s.unsaved, e)
+				s.unsave(e)
 			}
 		}
 	}
@@ -530,12 +569,13 @@
 // Unsaved appends entries that are to be written to disk: those made before so, or any with all.
 func (s *Stream) Unsaved(before Time, most int, out []*Entry) []*Entry {
 	n := 0
-	for _, e := range s.unsaved {
-		if e.At > before || most <= 0 {
+	for _, p := range s.unsaved {
+		e := p.e
+		if e.Seq == p.seq && e.At > before || most <= 0 {
 			break
 		}
 		n++
-		if e.state == left || e.handed || e.saved || e.saving || e.Worth == logroute.GapRecord {
+		if e.Seq != p.seq || e.state == left || e.handed || e.saved || e.saving || e.Worth == logroute.GapRecord {
 			continue
 		}
 		e.saving = true
@@ -549,7 +589,7 @@
 
 // Saved tells what became of what Unsaved gave. What could not be saved is given again.
 func (s *Stream) Saved(entries []*Entry, ok bool) {
-	var again []*Entry
+	var again []pushed
 	for _, e := range entries {
 		e.saving = false
 		switch {
@@ -561,7 +601,7 @@
 		case ok:
 			s.hold(e)
 		default:
-			again = append(again, e)
+			again = append(again, pushed{e, e.Seq})
 		}
 	}
 	if len(again) > 0 {
@@ -576,7 +616,7 @@
 		e, held := s.held[seq]
 		if e != nil {
 			s.unhold(e)
-			s.unsaved = append(s.unsaved, e)
+			s.unsave(e)
 		}
 		if held {
 			continue
--- a/internal/logship/config.go
+++ b/internal/logship/config.go
@@ -92,7 +92,7 @@
 	expiryUsual  = 14 * 24 * time.Hour
 	connectUsual = 3 * time.Second
 	writeUsual   = 5 * time.Second
-	inboxMost    = 4096 // records
+	inboxMost    = 2048 // records
 	batchBytes   = 32 << 10
 	gapTime      = time.Second
 	movesMost    = 4
@@ -201,7 +201,7 @@
 // share is a collector's part of the bounds.
 func (c *Config) stream(k *Collector) logqueue.Config {
 	memory := c.Memory / len(c.Collectors)
-	q := logqueue.Config{Memory: memory, Resend: min(c.Resend, memory/4), CatchUp: c.CatchUp, GapTime: gapTime}
+	q := logqueue.Config{Memory: memory, Resend: min(c.Resend, memory/4), CatchUp: c.CatchUp, GapTime: gapTime, Disk: c.Spool != ""}
 	if k.Transport == UDP {
 		q.Resend = 0
 	}
--- a/internal/logship/ship.go
+++ b/internal/logship/ship.go
@@ -152,7 +152,7 @@
 			q.Skip(logqueue.Rate)
 			continue
 		}
-		e, ok := s.entry(&r.Record, syslog.Meta{Seq: logqueue.Wire(q.Next()), Number: r.n, Weight: t.Weight})
+		e, ok := s.entry(q, &r.Record, syslog.Meta{Seq: logqueue.Wire(q.Next()), Number: r.n, Weight: t.Weight})
 		if !ok {
 			q.Skip(logqueue.Size)
 			continue
@@ -162,14 +162,16 @@
 	}
 }
 
-// entry encodes a record.
-func (s *Shipper) entry(r *record.Record, m syslog.Meta) (*logqueue.Entry, bool) {
+// entry encodes a record for a stream.
+func (s *Shipper) entry(q *logqueue.Stream, r *record.Record, m syslog.Meta) (*logqueue.Entry, bool) {
 	var at int
 	var err error
 	if s.buf, at, err = s.enc.Append(s.buf[:0], r, m); err != nil {
 		return nil, false
 	}
-	return &logqueue.Entry{Worth: logroute.WorthOf(r, m.Weight), At: r.At, SeqAt: at, Msg: append([]byte(nil), s.buf...)}, true
+	e := q.Get()
+	e.Worth, e.At, e.SeqAt, e.Msg = logroute.WorthOf(r, m.Weight), r.At, at, append(e.Msg, s.buf...)
+	return e, true
 }
 
 // gaps queues gap records for what was dropped. The caller holds the lock.
@@ -181,7 +183,7 @@
 		s.inbox.next++
 		n := s.inbox.next
 		s.inbox.Unlock()
-		if e, ok := s.entry(&r, syslog.Meta{Seq: logqueue.Wire(c.stream.Next()), Number: n, Weight: 1, Gap: &g}); ok {
+		if e, ok := s.entry(c.stream, &r, syslog.Meta{Seq: logqueue.Wire(c.stream.Next()), Number: n, Weight: 1, Gap: &g}); ok {
 			e.Route = -1
 			c.stream.Push(e)
 		}
--- /dev/null
+++ b/internal/standin/cluster/serve.go
@@ -0,0 +1,269 @@
+package cluster
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"reachwind/internal/pgwire"
+)
+
+func (m *Member) listen() error {
+	m.c.mu.Lock()
+	defer m.c.mu.Unlock()
+	return m.listenLocked()
+}
+
+func (m *Member) listenLocked() error {
+	l, err := net.Listen("tcp", m.Addr)
+	if err != nil {
+		return err
+	}
+	m.l, m.Addr, m.up = l, l.Addr().String(), true
+	m.c.done.Add(1)
+	go func() {
+		defer m.c.done.Done()
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			m.c.mu.Lock()
+			if m.l != l || !m.up {
+				m.c.mu.Unlock()
+				_ = nc.Close()
+				return
+			}
+			m.conns[nc] = true
+			m.c.done.Add(1)
+			m.c.mu.Unlock()
+			go m.serve(nc)
+		}
+	}()
+	return nil
+}
+
+// serve speaks to one connection.
+func (m *Member) serve(nc net.Conn) {
+	defer m.c.done.Done()
+	defer func() {
+		m.c.mu.Lock()
+		delete(m.conns, nc)
+		m.c.mu.Unlock()
+		_ = nc.Close()
+	}()
+	r := bufio.NewReaderSize(nc, 8<<10)
+	head := make([]byte, 5)
+	if _, err := io.ReadFull(r, head[:4]); err != nil {
+		return
+	}
+	n, err := pgwire.StartupLen(head)
+	if err != nil {
+		return
+	}
+	if _, err := r.Discard(n); err != nil {
+		return
+	}
+	out := pgwire.AppendReady(pgwire.Append(nil, 'R', "\x00\x00\x00\x00"))
+	pool := pgwire.NewPool(1)
+	buf := pool.Get()
+	for {
+		if _, err := nc.Write(out); err != nil {
+			return
+		}
+		if _, err := io.ReadFull(r, head); err != nil {
+			return
+		}
+		typ, n, err := pgwire.Header(head)
+		if err != nil || typ != 'Q' || n < 1 {
+			return
+		}
+		buf.B = buf.B[:n]
+		if _, err := io.ReadFull(r, buf.B); err != nil {
+			return
+		}
+		buf.B = buf.B[:n-1]
+		out = m.answer(out[:0], buf)
+		if out == nil { // it hangs
+			_, _ = io.Copy(io.Discard, r)
+			return
+		}
+	}
+}
+
+// answer runs one statement.
+func (m *Member) answer(out []byte, buf *pgwire.Buf) []byte {
+	m.c.mu.Lock()
+	hang := m.hang
+	m.c.mu.Unlock()
+	switch {
+	case hang:
+		return nil
+	case pgwire.Empty(buf.B):
+		return pgwire.AppendReady(pgwire.Append(out, 'I'))
+	case strings.HasPrefix(string(buf.B), "SHOW health"):
+		m.c.mu.Lock()
+		defer m.c.mu.Unlock()
+		m.Probes++
+		one := 0
+		if m.primary {
+			one = 1
+		}
+		return m.stamp(row(out, fmt.Sprintf("x0=%.3f,x1=%d,queue=0,inflight=%d", float64(m.position())/1000, one, len(m.slots)), "SHOW"), m.position())
+	}
+	st, err := pgwire.Parse(buf)
+	if err != nil {
+		return pgwire.AppendReady(pgwire.AppendError(out, "ERROR", pgwire.ProtocolViolation, err.Error(), ""))
+	}
+	select {
+	case m.slots <- struct{}{}:
+	default:
+		m.c.mu.Lock()
+		m.Refused++
+		m.c.mu.Unlock()
+		return pgwire.AppendReady(pgwire.AppendError(out, "ERROR", pgwire.TooManyConnections, "queue full", ""))
+	}
+	if m.c.conf.Work > 0 {
+		time.Sleep(m.c.conf.Work)
+	}
+	<-m.slots
+	m.c.mu.Lock()
+	defer m.c.mu.Unlock()
+	if m.hang {
+		return nil
+	}
+	if st.Read {
+		value, _ := m.g.get(st.Key, m.position())
+		m.Served++
+		return m.stamp(row(out, value, "SELECT 1"), m.position())
+	}
+	value, key := insert(buf.B)
+	lsn, ok := m.write(st.Key, value, key)
+	if !ok {
+		return m.stamp(pgwire.AppendError(out, "ERROR", pgwire.ReadOnly, "this is no primary", ""), m.position())
+	}
+	return m.stamp(row(out, value, "INSERT 0 1"), lsn)
+}
+
+// write writes a row under an idempotency key, which may be empty, and returns its commit. ok is false where
+// this is no primary. The caller holds the lock.
+func (m *Member) write(id, value, key string) (lsn int64, ok bool) {
+	if !m.primary {
+		return 0, false
+	}
+	m.Served++
+	now := time.Now()
+	if key != "" {
+		if was, ok := m.g.keys[key]; ok && now.Sub(was.at) < keyWindow {
+			return was.lsn, true // a repeat has no effect
+		}
+		m.g.runs[key]++
+	}
+	lsn = now.UnixMilli()
+	m.g.put(id, value, lsn)
+	if key != "" {
+		m.g.keys[key] = keyed{now, value, lsn}
+	}
+	return lsn, true
+}
+
+// insert finds the value and the idempotency key of an INSERT.
+func insert(text []byte) (value, key string) {
+	s := string(text)
+	if i := strings.Index(s, "k="); i >= 0 && i < strings.Index(s, "*/") {
+		key = s[i+2:]
+		key = key[:strings.IndexAny(key, ",* ")]
+	}
+	_, rest, _ := strings.Cut(s, "VALUES (")
+	if parts := strings.Split(rest, "'"); len(parts) > 3 {
+		value = parts[3]
+	}
+	return value, key
+}
+
+// stamp ends an answer with the role and a position.
+func (m *Member) stamp(out []byte, lsn int64) []byte {
+	role := "on"
+	if m.primary {
+		role = "off"
+	}
+	out = pgwire.AppendStatus(out, "recovery", role)
+	return pgwire.AppendReady(pgwire.AppendStatus(out, "lsn_ms", strconv.FormatInt(lsn, 10)))
+}
+
+// row is an answer of one column and one row.
+func row(b []byte, value, tag string) []byte {
+	column := "\x00\x01doc\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x19\xff\xff\xff\xff\xff\xff\x00\x00"
+	b = pgwire.Append(b, 'T', column)
+	b = pgwire.Append(b, 'D', "\x00\x01", string(binary.BigEndian.AppendUint32(nil, uint32(len(value)))), value)
+	return pgwire.Append(b, 'C', tag, "\x00")
+}
+
+// List is the list in discovery's form.
+func (c *Cluster) List() map[string]any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.list()
+}
+
+func (c *Cluster) list() map[string]any {
+	instances := []map[string]any{}
+	for _, m := range c.members {
+		if m.gone {
+			continue
+		}
+		state := "ready"
+		if m.drain {
+			state = "draining"
+		}
+		instances = append(instances, map[string]any{"instanceId": m.ID, "hostPort": m.Addr, "zone": "a", "machineType": "m", "cell": m.Group,
+			"lifecycle": state, "weight": 1.0, "startedAtMs": m.started})
+	}
+	return map[string]any{"generation": c.generation, "reset": true, "instances": instances}
+}
+
+const waitMost = time.Minute
+
+func (c *Cluster) serveDiscovery() {
+	defer c.done.Done()
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		index, _ := strconv.ParseInt(r.FormValue("index"), 10, 64)
+		wait, _ := strconv.Atoi(r.FormValue("wait"))
+		end := time.NewTimer(min(time.Duration(wait)*time.Millisecond, waitMost))
+		defer end.Stop()
+		for waiting := true; waiting; {
+			c.mu.Lock()
+			newer, changed, closed := c.generation > index || index == 0, c.changed, c.closed
+			c.mu.Unlock()
+			if newer || closed {
+				break
+			}
+			select {
+			case <-changed:
+			case <-end.C:
+				waiting = false
+			case <-r.Context().Done():
+				return
+			}
+		}
+		c.mu.Lock()
+		list := c.list()
+		c.mu.Unlock()
+		if list["generation"] == index {
+			list = map[string]any{"generation": index, "reset": false, "instances": []any{}}
+		}
+		_ = json.NewEncoder(w).Encode(list)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/endpoints", handler)
+	s := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	_ = s.Serve(c.discovery)
+	_ = s.Close()
+}
--- a/internal/standin/collector/book.go
+++ b/internal/standin/collector/book.go
@@ -48,6 +48,8 @@
 	Shortened int               `json:"shortened"`
 	Longest   int               `json:"longest"`
 	Streams   int               `json:"streams"`
+	Distinct  uint64            `json:"distinct"` // numbers that came
+	Last      uint64            `json:"last"`     // highest numbers, of all streams together
 }
 
 // NewBook returns an empty book.
@@ -157,6 +159,8 @@
 	for _, one := range b.streams {
 		s.Missing += one.last - one.first + 1 - uint64(len(one.seen))
 		s.Told += one.told
+		s.Distinct += uint64(len(one.seen))
+		s.Last += one.last
 	}
 	return s
 }
