Harden queue, spool and routes by random steps, power cuts and fault injection

Found by them and mended: after an error of the disk a Sync passed over the segment that the error had closed, so records counted as synced were not; what was saved again in its old segment was taken for done after a restart; a rotten header length had a whole segment taken for torn and deleted, and a rotten version for a newer one; what is kept to go again could keep the backlog on disk for good; a collector taken out by a reload kept what others could take. Requests that the front answers by itself now have records too.

--- a/cmd/windlab/surge.go
+++ b/cmd/windlab/surge.go
@@ -174,13 +174,20 @@
 		peak <- most
 	}()
 	before, _ := g.Cost()
+	begun := time.Now()
 	res, err = load.Run(ctx, load.Config{Addr: g.Addr, Phases: phases, Conns: 256, Groups: 2, Seed: seed, Prefix: filepath.Base(dir) + "-"})
 	if err != nil {
 		return r, nil, err
 	}
 	after, _ := g.Cost()
-	if name != "off" { // the rest of the backlog
-		time.Sleep(total/4 + 3*time.Second)
+	for last, quiet := uint64(0), 0; name != "off" && quiet < 30; time.Sleep(50 * time.Millisecond) { // the rest of the backlog
+		s := k.Book.Summary()
+		if quiet++; s.Distinct != last || s.Missing != s.Told {
+			quiet = 0
+		}
+		if last = s.Distinct; time.Since(begun) > total+time.Minute {
+			break
+		}
 	}
 	cancel()
 	r.P50, r.P99, r.P999 = ms(res.Quantile(0.5)), ms(res.Quantile(0.99)), ms(res.Quantile(0.999))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,6 +10,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"reachwind/decide"
@@ -151,6 +152,7 @@
 	wake  chan struct{}
 
 	watch    *watch // nil: nobody wants records
+	sink     atomic.Pointer[record.Sink]
 	requests map[uint64]*Request
 	lastID   uint64
 	timers   timers
--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -19,6 +19,11 @@
 // Observe has records go to s from now on, nil for none. cold is how long members are cold after their start.
 // It may be called from any goroutine.
 func (c *Core) Observe(s record.Sink, cold time.Duration) {
+	if s == nil {
+		c.sink.Store(nil)
+	} else {
+		c.sink.Store(&s)
+	}
 	c.Post(func() {
 		if s == nil {
 			c.watch = nil
@@ -28,6 +33,18 @@
 	})
 }
 
+// Turned tells of a request that a front answered by itself, before the core had it. It may be called from any
+// goroutine, and does nothing while nobody listens.
+func (c *Core) Turned(front string, o record.Outcome, why record.Cause) {
+	s := c.sink.Load()
+	if s == nil {
+		return
+	}
+	r := record.Record{Kind: record.Request, At: c.Now(), Class: -1, Tenant: -1, Front: front, Outcome: o, Cause: why}
+	r.OfRequest()
+	(*s).Put(&r)
+}
+
 // learn notes a position that a member told.
 func (w *watch) learn(member string, p Time) {
 	if w == nil {
--- a/internal/logqueue/stream.go
+++ b/internal/logqueue/stream.go
@@ -48,7 +48,7 @@
 // Config holds a stream's bounds.
 type Config struct {
 	Memory  int     // bytes, of messages with their overhead
-	Resend  int     // bytes confirmed that are kept to go again
+	Resend  int     // bytes confirmed that are kept to go again, at most a quarter of Memory
 	CatchUp float64 // records a second of what was queued before the collector came back
 	GapTime Time    // between two gap records of one cause
 	Disk    bool    // Unsaved and Saved are called
@@ -166,11 +166,15 @@
 
 // New returns a stream whose first number is first.
 func New(c Config, first uint64) *Stream {
+	c.Resend = min(c.Resend, c.Memory/4)
 	return &Stream{c: c, next: max(1, first), at: -1, held: map[uint64]*Entry{}}
 }
 
 // SetConfig changes the bounds. What is over them goes with the next Push.
-func (s *Stream) SetConfig(c Config) { s.c = c }
+func (s *Stream) SetConfig(c Config) {
+	c.Resend = min(c.Resend, c.Memory/4)
+	s.c = c
+}
 
 // Next is the number that Push or Skip takes.
 func (s *Stream) Next() uint64 { return s.next }
@@ -660,13 +664,16 @@
 	if s.onDisk == 0 || s.loaded.len() > 0 {
 		return 0
 	}
-	return max(0, min(most, s.c.Memory/2-s.bytes))
+	return max(0, min(most, s.c.Memory/2-(s.bytes-s.confLen))) // what is kept to go again must not keep it out
 }
 
-// Load takes entries read back from disk, in the order of their numbers.
+// Load takes entries read back from disk, those of the lowest numbers that there is room for. The others wait on.
 func (s *Stream) Load(entries []*Entry) {
 	slices.SortFunc(entries, bySeq)
 	for _, e := range entries {
+		if s.bytes+e.size() > s.c.Memory {
+			return
+		}
 		e.state = waiting
 		s.hold(e)
 		s.bytes += e.size()
@@ -675,20 +682,42 @@
 	}
 }
 
+// Shelve lets all that is on disk go from memory, for the end of the process.
+func (s *Stream) Shelve() {
+	each := func(l *list) {
+		keep := list{}
+		for l.len() > 0 {
+			e := l.pop()
+			if !e.saved {
+				keep.push(e)
+				continue
+			}
+			s.unhold(e)
+			s.bytes -= e.size()
+			e.state = left
+			s.onDisk++
+		}
+		for keep.len() > 0 {
+			l.push(keep.pop())
+		}
+	}
+	for i := range s.old {
+		each(&s.old[i])
+		each(&s.fresh[i])
+	}
+	each(&s.again)
+	each(&s.loaded)
+}
+
 // Abandon drops all that waits in memory, for a collector that is no more.
 func (s *Stream) Abandon(cause Cause, keepSaved bool) (dropped int) {
 	s.Ended(false)
+	if keepSaved {
+		s.Shelve()
+	}
 	each := func(l *list) {
 		for l.len() > 0 {
 			e := l.first()
-			if keepSaved && e.saved {
-				l.pop()
-				s.bytes -= e.size()
-				e.state = left
-				s.unhold(e)
-				s.onDisk++
-				continue
-			}
 			s.remove(e)
 			s.drop(cause, e.Seq, 1)
 			dropped++
--- a/internal/logship/collector.go
+++ b/internal/logship/collector.go
@@ -187,6 +187,11 @@
 		}
 		if err == nil {
 			s.circuits.Connected(s.now(), c.at)
+			for _, o := range s.all { // what waits for others that are down may be this one's to take
+				if o != c && !s.circuits.Up(o.at) {
+					s.down(o)
+				}
+			}
 			s.mu.Unlock()
 			s.log.Info("collector connected", "collector", conf.Name, "address", conf.Address)
 			return l, change
@@ -306,8 +311,12 @@
 
 // end ends a connection as planned. What its peer's kernel does not confirm goes again.
 func (c *collector) end(l *link) bool {
-	all := l.finish(closeTime)
 	s := c.s
+	wait := closeTime
+	if s.ctx.Err() != nil { // there is no time left
+		wait = 20 * time.Millisecond
+	}
+	all := l.finish(wait)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.stream.Confirm(l.confirmed())
--- a/internal/logship/disk.go
+++ b/internal/logship/disk.go
@@ -70,6 +70,9 @@
 			d.step(0, true)
 			if d.sp != nil {
 				d.sp.Close()
+				d.c.s.mu.Lock()
+				d.c.stream.Shelve()
+				d.c.s.mu.Unlock()
 			}
 			return
 		}
--- a/internal/logship/edge.go
+++ b/internal/logship/edge.go
@@ -95,10 +95,7 @@
 		}
 		route.Members = r.Texts("member")
 		route.Rate = r.Number("rate", 0, 0, 1e9)
-		route.Sample = r.Number("sample", 0, 0, 1)
-		if r.Has("sample") && route.Sample == 0 {
-			r.FaultAt("sample", "sample is 0, want a part above it: leave the route out to send nothing")
-		}
+		route.Sample = r.Number("sample", 0, 1e-6, 1)
 		mode := r.One("mode", "all", logroute.Modes[:]...)
 		for i, m := range logroute.Modes {
 			if m == mode {
--- a/internal/logship/ship.go
+++ b/internal/logship/ship.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -267,6 +268,11 @@
 	defer s.mu.Unlock()
 	first := s.table == nil
 	old := s.all
+	for _, o := range old { // what the routes of before give to others goes while they hold
+		if !slices.ContainsFunc(conf.Collectors, func(k Collector) bool { return k.Name == o.name }) {
+			s.down(o)
+		}
+	}
 	s.all = nil
 	var from []int
 	for i := range conf.Collectors {
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -12,6 +12,7 @@
 	"reachwind/decide"
 	"reachwind/internal/core"
 	"reachwind/internal/pgwire"
+	"reachwind/internal/record"
 	"reachwind/internal/wake"
 )
 
@@ -304,10 +305,11 @@
 	q, err := c.request(buf, came)
 	if err != nil {
 		buf.Release()
-		code := pgwire.SyntaxError
+		code, why := pgwire.SyntaxError, record.Invalid
 		if errors.Is(err, errInUse) {
-			code = pgwire.DuplicateObject
+			code, why = pgwire.DuplicateObject, record.InUse
 		}
+		c.s.core.Turned(front, record.Failed, why)
 		c.out = pgwire.AppendError(c.out[:0], "ERROR", code, err.Error(), "")
 		c.out = pgwire.AppendReady(c.out)
 		return c.write(c.out)
@@ -349,6 +351,7 @@
 	if err := c.skip(n); err != nil {
 		return err
 	}
+	c.s.core.Turned(front, record.Refused, record.Buffers)
 	c.s.full.Warn(c.s.log, "request refused: out of buffers")
 	c.out = pgwire.AppendError(c.out[:0], "ERROR", pgwire.TooManyConnections, "too many requests", c.comeBack())
 	return c.write(pgwire.AppendReady(c.out))
@@ -390,7 +393,7 @@
 	if !ok {
 		tenant = -1
 	}
-	q := &core.Request{Class: class, Tenant: tenant, Front: "pg", Group: st.Cluster, Retry: st.Retry,
+	q := &core.Request{Class: class, Tenant: tenant, Front: front, Group: st.Cluster, Retry: st.Retry,
 		Written: core.Time(st.After) * time.Millisecond, Call: st,
 		Until: came + min(core.Time(min(st.Wait, maxWait))*time.Millisecond, k.Deadline)}
 	if k.HasSession() {
--- a/internal/pgfront/conn_test.go
+++ b/internal/pgfront/conn_test.go
@@ -20,6 +20,7 @@
 	"reachwind/decide"
 	"reachwind/internal/core"
 	"reachwind/internal/pgwire"
+	"reachwind/internal/record"
 )
 
 const buffers = 6
@@ -39,6 +40,8 @@
 	f.open = append(f.open, q)
 	f.arrived++
 }
+func (f *fakeCore) Turned(string, record.Outcome, record.Cause) {}
+
 func (f *fakeCore) Gone(q *core.Request) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/pgfront/server.go
+++ b/internal/pgfront/server.go
@@ -16,6 +16,7 @@
 	"reachwind/internal/core"
 	"reachwind/internal/often"
 	"reachwind/internal/pgwire"
+	"reachwind/internal/record"
 )
 
 // Config holds what the front is told.
@@ -38,8 +39,11 @@
 	Now() core.Time
 	Arrive(*core.Request)
 	Gone(*core.Request)
+	Turned(front string, o record.Outcome, why record.Cause)
 }
 
+const front = "pg" // as records have it
+
 // Server accepts client connections.
 type Server struct {
 	core    Core
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -61,11 +61,14 @@
 	NotSent
 	NotHere
 	Rejected
+	Invalid // the front could not read it
+	InUse   // its id is that of a request in work
 )
 
 // Causes are the names of the causes.
 var Causes = [...]string{"", "unplaced", "waiting", "deadline", "buffers", "error", "full", "timeout", "unreachable",
-	"reset", "cancelled", "not-sent", "not-here", "rejected"}
+	"reset", "cancelled", "not-sent", "not-here", "rejected",
+	"invalid", "in-use"}
 
 func (c Cause) String() string { return Causes[c] }
 
--- a/internal/spool/format.go
+++ b/internal/spool/format.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"hash/crc32"
 	"time"
 )
 
-// The format, version 1. All numbers are little-endian.
+// The format, version 1. All numbers are little-endian. A later version keeps the form of the segment's header, so
+// that a newer one can be told from a rotten one.
 //
 //	segment  = "RWSPOOL\x00" version:u16 owner-length:u16 owner crc32c:u32 record...
 //	record   = mark:u32 length:u32 crc32c:u32 seq:u64 at:i64 key:u64 seq-at:u16 worth:u8 moves:u8 route-length:u8 route message
@@ -48,6 +50,7 @@
 	from := len(b)
 	b = append(b, segMagic...)
 	b = binary.LittleEndian.AppendUint16(b, version)
+	owner = owner[:min(len(owner), ownerMost)]
 	b = binary.LittleEndian.AppendUint16(b, uint16(len(owner)))
 	b = append(b, owner...)
 	return binary.LittleEndian.AppendUint32(b, crc32.Checksum(b[from:], castagnoli))
@@ -70,23 +73,31 @@
 	return fmt.Sprintf("%s belongs to %q, want %q: it is left untouched", e.File, e.Has, e.Want)
 }
 
+const ownerMost = 1024
+
+// errHeader is returned for a segment whose header is not as it was written.
+var errHeader = errors.New("the header is rotten")
+
 // parseHeader reads a segment's header. short tells that it was never written whole.
 func parseHeader(name string, b []byte) (owner string, n int, short bool, err error) {
 	if len(b) < 12 {
 		return "", 0, true, nil
 	}
 	if string(b[:8]) != segMagic {
-		return "", 0, false, fmt.Errorf("%s is no segment", name)
-	}
-	if v := int(binary.LittleEndian.Uint16(b[8:])); v != version {
-		return "", 0, false, &VersionError{name, v}
+		return "", 0, false, errHeader
 	}
 	n = 12 + int(binary.LittleEndian.Uint16(b[10:]))
+	if n > 12+ownerMost {
+		return "", 0, false, errHeader
+	}
 	if len(b) < n+4 {
 		return "", 0, true, nil
 	}
 	if crc32.Checksum(b[:n], castagnoli) != binary.LittleEndian.Uint32(b[n:]) {
-		return "", 0, false, fmt.Errorf("%s: the header's checksum is wrong", name)
+		return "", 0, false, errHeader
+	}
+	if v := int(binary.LittleEndian.Uint16(b[8:])); v != version {
+		return "", 0, false, &VersionError{name, v}
 	}
 	return string(b[12:n]), n + 4, false, nil
 }
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -11,6 +11,7 @@
 package spool
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -58,21 +59,18 @@
 	f       File
 	done    File // nil until something is
 	size    int64
-	head    int64 // where records begin
-	seqs    []uint64
-	sorted  bool
+	head    int64    // where records begin
+	seqs    []uint64 // in order
 	gone    []uint64 // a bit for each record that is handed over or dropped
 	pending int
 	newest  time.Duration
 	closed  bool // takes no more
+	dirty   bool // written to since it was synced
 }
 
 func (s *segment) isGone(i int) bool { return s.gone[i>>6]>>(i&63)&1 == 1 }
 
 func (s *segment) add(r *Record) {
-	if n := len(s.seqs); n > 0 && s.seqs[n-1] >= r.Seq {
-		s.sorted = false
-	}
 	if len(s.seqs)&63 == 0 {
 		s.gone = append(s.gone, 0)
 	}
@@ -83,17 +81,7 @@
 
 // forget marks a record as gone and tells whether it was pending here.
 func (s *segment) forget(seq uint64) bool {
-	i, found := 0, false
-	if s.sorted {
-		i, found = slices.BinarySearch(s.seqs, seq)
-	} else {
-		for i = range s.seqs {
-			if s.seqs[i] == seq && !s.isGone(i) {
-				found = true
-				break
-			}
-		}
-	}
+	i, found := slices.BinarySearch(s.seqs, seq)
 	if !found || s.isGone(i) {
 		return false
 	}
@@ -177,7 +165,7 @@
 		if err != nil {
 			return err
 		}
-		g := &segment{id: id, f: f, size: size, sorted: true, closed: true}
+		g := &segment{id: id, f: f, size: size, closed: true}
 		s.segs = append(s.segs, g)
 		s.lastID = max(s.lastID, id)
 		head := make([]byte, min(size, 12+1<<16+4))
@@ -186,11 +174,21 @@
 		}
 		owner, n, short, err := parseHeader(name, head)
 		switch {
+		case errors.Is(err, errHeader): // nothing in it can be trusted, not even whose it is: it is set aside
+			found.Rotten++
+			g.head = -1
+			if !s.o.ReadOnly {
+				if err := s.fs.Rename(name, name+".bad"); err != nil {
+					return err
+				}
+			}
+			continue
 		case err != nil:
 			return err
 		case short:
+			found.Torn++
 			g.head = -1
-		case owner != s.o.Owner && s.o.Owner != "":
+		case owner != s.o.Owner[:min(len(s.o.Owner), ownerMost)] && s.o.Owner != "":
 			return &OwnerError{name, owner, s.o.Owner}
 		}
 		if !short {
@@ -201,7 +199,6 @@
 	seen := map[uint64]*segment{}
 	for _, g := range s.segs {
 		if g.head < 0 {
-			found.Torn++
 			continue
 		}
 		if err := s.scan(g, found); err != nil {
@@ -372,13 +369,17 @@
 	return err
 }
 
-// Append writes records behind all others. On an error none of them counts as written; the spool may be used
-// on, and goes on in a new segment.
+// Append writes records behind all others, and sorts them. On an error none of them counts as written; the spool
+// may be used on, and goes on in a new segment.
+//
+// Within a segment numbers only grow: what is saved again goes to a new one, as the file beside an old one may say
+// that it was done with then.
 func (s *Spool) Append(records []Record) error {
 	if len(records) == 0 {
 		return nil
 	}
-	g, err := s.active()
+	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Seq, b.Seq) })
+	g, err := s.active(records[0].Seq)
 	if err != nil {
 		return err
 	}
@@ -386,6 +387,7 @@
 	for i := range records {
 		s.out = appendRecord(s.out, &records[i])
 	}
+	g.dirty = true
 	if _, err := g.f.Write(s.out); err != nil {
 		g.closed = true
 		if e := g.f.Truncate(g.size); e != nil { // what is half written is cut off by the next Open
@@ -401,15 +403,17 @@
 	return nil
 }
 
-// active is the segment to append to.
-func (s *Spool) active() (*segment, error) {
-	if n := len(s.segs); n > 0 && !s.segs[n-1].closed && s.segs[n-1].size < s.o.Segment {
-		return s.segs[n-1], nil
+// active is the segment to append to, from a number on.
+func (s *Spool) active(first uint64) (*segment, error) {
+	if n := len(s.segs); n > 0 {
+		if g := s.segs[n-1]; !g.closed && g.size < s.o.Segment && (len(g.seqs) == 0 || g.seqs[len(g.seqs)-1] < first) {
+			return g, nil
+		}
 	}
 	if n := len(s.segs); n > 0 {
 		s.segs[n-1].closed = true
 	}
-	g := &segment{id: s.lastID + 1, sorted: true}
+	g := &segment{id: s.lastID + 1}
 	f, err := s.fs.Create(g.name())
 	if err != nil {
 		return nil, err
@@ -434,8 +438,13 @@
 
 // Sync makes what was appended last.
 func (s *Spool) Sync() error {
-	if n := len(s.segs); n > 0 && !s.segs[n-1].closed {
-		return s.segs[n-1].f.Sync()
+	for _, g := range s.segs { // one that an error closed may hold records that were written before it
+		if g.dirty {
+			if err := g.f.Sync(); err != nil {
+				return err
+			}
+			g.dirty = false
+		}
 	}
 	return nil
 }
