Take REST clients on the same core: reads, keyed writes, listings with sealed cursors

Ids in work are claimed in one place for all fronts. An answer older than a read's AtLeast counts as turned away: a primary that hung and was replaced answered a next page 229 ms too old, found by TestListings. net/http takes a length beside chunked; the front refuses chunked bodies, whose end another server may see elsewhere.

--- a/cmd/reachwind/main_test.go
+++ b/cmd/reachwind/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -11,9 +12,11 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"reachwind/internal/gateway"
 	"reachwind/internal/pgwire"
+	"reachwind/internal/spool"
 )
 
 const good = `{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
@@ -197,6 +200,56 @@
 	}
 }
 
+// TestSpoolCommands: they list, print and verify what waits, of one collector or of all, and change nothing.
+func TestSpoolCommands(t *testing.T) {
+	root := t.TempDir()
+	dir := filepath.Join(root, "c-office")
+	s, _, err := spool.Open(spool.Dir(dir), spool.Options{Owner: "gw/office", Most: 1 << 20})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for seq := uint64(5); seq < 8; seq++ {
+		if err := s.Append([]spool.Record{{Seq: seq, At: time.Hour, Msg: fmt.Appendf(nil, "message %d", seq)}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	run := func(args ...string) (string, error) {
+		var out strings.Builder
+		err := command(append([]string{"spool"}, args...), &out, io.Discard)
+		return out.String(), err
+	}
+	for _, d := range []string{root, dir} { // beside the gateway that holds the folder
+		if out, err := run("cat", d); err != nil || out != "message 5\nmessage 6\nmessage 7\n" {
+			t.Errorf("cat: %q, %v", out, err)
+		}
+		if out, err := run("ls", d); err != nil || !strings.Contains(out, "3 records wait, numbers 5 to 7") {
+			t.Errorf("ls: %q, %v", out, err)
+		}
+		if out, err := run("verify", d); err != nil || !strings.Contains(out, "3 records read, 0 rotten") {
+			t.Errorf("verify: %q, %v", out, err)
+		}
+	}
+	s.Close()
+	files, err := filepath.Glob(filepath.Join(dir, "*.seg"))
+	if err != nil || len(files) != 1 {
+		t.Fatal(files, err)
+	}
+	text, err := os.ReadFile(files[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	text[len(text)-60]++ // in the second of three
+	if err := os.WriteFile(files[0], text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if out, err := run("verify", dir); err == nil {
+		t.Errorf("verify of a rotten record: %q", out)
+	}
+	if _, err := run("ls", filepath.Join(root, "nowhere")); err == nil {
+		t.Error("ls of no folder: no error")
+	}
+}
+
 // TestLogDrops: a reader that takes no line holds up nobody, and learns how many it missed.
 func TestLogDrops(t *testing.T) {
 	gate, got := make(chan struct{}), new(strings.Builder)
--- a/cmd/windlab/surge.go
+++ b/cmd/windlab/surge.go
@@ -61,6 +61,9 @@
 	if l.quick {
 		rounds = 1
 	}
+	if l.round > 0 {
+		rounds = l.round
+	}
 	var runs []surgeRun
 	var failed error
 	for _, rate := range []float64{1000, 3000} {
--- a/decide/api.go
+++ b/decide/api.go
@@ -242,6 +242,7 @@
 	Session   string // Arrive: the session, if any
 	HasToken  bool   // Arrive: the session has a last write
 	TokenAge  Time   // Arrive: how long ago that was committed
+	AtLeast   Time   // Arrive: a read must also see what was committed by then; 0 = no more than its class says
 	IsRetry   bool   // Arrive: a client's repeat
 	Remaining Time   // Arrive: how long the client waits
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -305,7 +305,7 @@
 func (r *Router) arrive(e *Event) {
 	k := &r.classes[e.Class]
 	q := &request{id: e.Request, class: k, group: r.groups[e.Group], session: e.Session, arrived: r.now,
-		aim: r.now + k.Aim, deadline: r.now + e.Remaining, token: never, luck: r.rng.Float64()}
+		aim: r.now + k.Aim, deadline: r.now + e.Remaining, token: never, floor: never, luck: r.rng.Float64()}
 	r.requests[q.id] = q
 	r.open = append(r.open, q)
 	r.retries = min(retryMost, r.retries+retryEarn)
@@ -320,6 +320,9 @@
 		r.giveUp(q)
 		return
 	}
+	if e.AtLeast > 0 {
+		q.floor = e.AtLeast
+	}
 	if c, ok := q.group.sessions[q.session]; ok {
 		q.token = c
 	} else if r.cfg.RemembersSessions {
@@ -438,13 +441,13 @@
 func (r *Router) need(q *request) Time {
 	switch q.class.Consistency {
 	case Bounded:
-		return r.now - q.class.Bound
+		return max(q.floor, r.now-q.class.Bound)
 	case Session:
-		return q.token
+		return max(q.floor, q.token)
 	case Fresh:
 		return q.arrived
 	}
-	return never
+	return q.floor
 }
 
 // choose picks the member for the next attempt, or nil to hold the request.
--- a/decide/state.go
+++ b/decide/state.go
@@ -99,6 +99,7 @@
 	session                string
 	arrived, aim, deadline Time
 	token                  Time    // position that a session read needs
+	floor                  Time    // position that any read of it needs, never = none
 	luck                   float64 // seeded chance, drawn once
 	rank                   float64 // worth for each unit of work
 	attempts               []*attempt
--- a/deploy/edge.hcl
+++ b/deploy/edge.hcl
@@ -53,3 +53,9 @@
     to     = ["spare"]
   }
 }
+
+# Clients that speak REST. docs/operators/rest.md has the requests.
+# rest {
+#   listen      = "127.0.0.1:8080"
+#   connections = 256
+# }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -58,9 +58,11 @@
 
 // Answer is the final answer to a request.
 type Answer struct {
-	Verdict Verdict
-	After   Time
-	Body    Payload // Served: what the member answered
+	Verdict    Verdict
+	After      Time
+	Body       Payload // Served: what the member answered
+	Position   Time    // Served: the log position that the member told, a write's commit; 0 = none
+	MayHaveRun bool    // Failed: some attempt may have had its effect
 }
 
 // Request is one client request. The front fills in the first fields, and
@@ -71,6 +73,7 @@
 	Front         string // which front it came by, in one word
 	Session       string
 	Written       Time // the session's last write where clients carry it, 0 = none
+	AtLeast       Time // a read must see what was committed by then, 0 = what its class says
 	Retry         bool
 	Until         Time // how long the client waits
 	Call          Payload
@@ -279,7 +282,7 @@
 	now := c.Now()
 	q.arrived = now
 	e := decide.Event{Kind: decide.Arrive, Request: q.id, Class: q.Class, Tenant: q.Tenant, Group: q.Group,
-		Session: q.Session, IsRetry: q.Retry, Remaining: q.Until - now}
+		Session: q.Session, AtLeast: q.AtLeast, IsRetry: q.Retry, Remaining: q.Until - now}
 	if q.Written > 0 {
 		e.HasToken, e.TokenAge = true, max(now-q.Written, 0)
 	}
@@ -288,7 +291,7 @@
 		if !q.ended { // guards the rule that each taken request gets an answer in time
 			c.log.Warn("deadline passed unanswered", "request", q.id)
 			c.events = append(c.events, decide.Event{Kind: decide.ClientGone, Request: q.id})
-			c.finish(q, Answer{Verdict: Failed}, record.Deadline)
+			c.finish(q, Answer{Verdict: Failed, MayHaveRun: q.mayHaveRun()}, record.Deadline)
 		}
 	})
 }
@@ -308,6 +311,21 @@
 	c.end(q)
 }
 
+// mayHaveRun tells whether some attempt may have had its effect.
+func (q *Request) mayHaveRun() bool {
+	for _, a := range q.attempts {
+		if !a.done {
+			return true
+		}
+		switch a.result {
+		case decide.Full, decide.Unreachable, decide.NotSent, decide.NotHere, decide.Rejected:
+		default:
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Core) end(q *Request) {
 	q.ended = true
 	c.forget(q)
@@ -330,6 +348,15 @@
 		return
 	}
 	q := a.Request
+	if o.Result == decide.Served && q.AtLeast > 0 && o.Stamped && o.Position < q.AtLeast {
+		// It was primary when it was last heard of, and is a replica now that lacks what this read must see: as good
+		// as a member that turned it away, and it is tried elsewhere.
+		o.Result = decide.NotHere
+		if o.Body != nil {
+			o.Body.Release()
+			o.Body = nil
+		}
+	}
 	a.done, a.result, a.role = true, o.Result, o.Role
 	if o.Stamped {
 		a.position = o.Position
@@ -343,7 +370,7 @@
 		c.watch.learn(a.Member, o.Position)
 	}
 	if o.Result == decide.Served {
-		c.finish(q, Answer{Verdict: Served, Body: o.Body}, record.NoCause)
+		c.finish(q, Answer{Verdict: Served, Body: o.Body, Position: a.position}, record.NoCause)
 	}
 	c.forget(q)
 }
@@ -364,7 +391,7 @@
 		}
 	case decide.Fail:
 		if q != nil {
-			c.finish(q, Answer{Verdict: Failed}, record.NoCause)
+			c.finish(q, Answer{Verdict: Failed, MayHaveRun: q.mayHaveRun()}, record.NoCause)
 		}
 	case decide.Probe:
 		c.members.Probe(a.Member)
--- /dev/null
+++ b/internal/cursor/keys.go
@@ -0,0 +1,56 @@
+package cursor
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// keysMost bounds a key file: rings are looked through for each cursor.
+const keysMost = 64
+
+// ParseKeys reads a key file: a line for each key with its id, 64 hexadecimal digits, and the times from which it
+// is accepted, from which it is issued, and at which it ends (RFC 3339), with "-" for always. Empty lines and
+// those that begin with # are skipped. Errors name the line and never the secret.
+func ParseKeys(text []byte) ([]Key, error) {
+	var keys []Key
+	n := 0
+	for in := bufio.NewScanner(bytes.NewReader(text)); in.Scan(); {
+		n++
+		f := strings.Fields(in.Text())
+		if len(f) == 0 || f[0][0] == '#' {
+			continue
+		}
+		if len(f) != 5 {
+			return nil, fmt.Errorf("line %d: %d fields, want id, secret, accepted from, issued from and end", n, len(f))
+		}
+		id, err := strconv.ParseUint(f[0], 10, 32)
+		if err != nil {
+			return nil, fmt.Errorf("line %d: the id is %.20q, want a whole number", n, f[0])
+		}
+		k := Key{ID: uint32(id), End: 1 << 62}
+		if raw, err := hex.DecodeString(f[1]); err != nil || len(raw) != len(k.Secret) {
+			return nil, fmt.Errorf("line %d: the secret of key %d has %d characters, want %d hexadecimal digits", n, id, len(f[1]), 2*len(k.Secret))
+		} else {
+			copy(k.Secret[:], raw)
+		}
+		for i, to := range []*Time{&k.Accept, &k.Issue, &k.End} {
+			if f[2+i] == "-" {
+				continue
+			}
+			at, err := time.Parse(time.RFC3339, f[2+i])
+			if err != nil {
+				return nil, fmt.Errorf("line %d: key %d: %.40q, want a time as 2026-01-31T00:00:00Z, or -", n, id, f[2+i])
+			}
+			*to = Time(at.UnixNano())
+		}
+		if keys = append(keys, k); len(keys) > keysMost {
+			return nil, fmt.Errorf("line %d: more than %d keys", n, keysMost)
+		}
+	}
+	return keys, nil
+}
--- a/internal/gateway/edge.go
+++ b/internal/gateway/edge.go
@@ -9,15 +9,18 @@
 	"strconv"
 	"time"
 
+	"reachwind/internal/call"
 	"reachwind/internal/core"
 	"reachwind/internal/edgeconf"
 	"reachwind/internal/logship"
 	"reachwind/internal/pgwire"
+	"reachwind/internal/restfront"
 )
 
 // Edge is the product configuration, read and checked. A part that is nil is off.
 type Edge struct {
 	Syslog *logship.Config
+	REST   *restfront.Config
 }
 
 // LoadEdge reads the product configuration at path for a gateway. An error may hold many faults, see
@@ -41,6 +44,11 @@
 			s.Seed = c.seed
 			e.Syslog = &s
 		})
+		b.Blocks("rest", false, func(b *edgeconf.Block) {
+			r := restfront.Read(b)
+			r.Classes, r.Tenants, r.ComeBack = c.Decide.Classes, c.Decide.Tenants, c.Decide.MaxRetryAfter
+			e.REST = &r
+		})
 	})
 	if err != nil {
 		return nil, err
@@ -74,6 +82,10 @@
 	if e.Syslog != nil {
 		b.Parts, b.Files = e.Syslog.Footprint()
 	}
+	if e.REST != nil {
+		memory, files := e.REST.Footprint()
+		b.Parts, b.Files = b.Parts+memory, b.Files+files
+	}
 	b.Sockets = max(leastSockets, c.sockets-b.Files)
 	b.Clients, b.Members = int(clientPart*float64(b.Sockets)), int(memberPart*float64(b.Sockets))
 	b.Buffers = max(buffersLeast, int(bufferPart*float64(max(0, memory-b.Parts)))/pgwire.BufSize)
@@ -81,7 +93,28 @@
 	return b
 }
 
-var errRestart = errors.New("a block that comes or goes takes a restart")
+var errRestart = errors.New("a block that comes or goes, and what a front listens on, take a restart")
+
+// startREST starts the REST front.
+func startREST(conf *restfront.Config, owner *core.Core, claims *call.Claims, log *slog.Logger) (part, error) {
+	s, err := restfront.New(owner, *conf, claims, log)
+	if err != nil {
+		return part{}, err
+	}
+	if err := s.Start(); err != nil {
+		return part{}, err
+	}
+	return part{
+		name: "rest",
+		prepare: func(e *Edge) (func(), error) {
+			if e.REST == nil || e.REST.Listen != conf.Listen || e.REST.Max != conf.Max {
+				return nil, errRestart
+			}
+			return s.Prepare(*e.REST)
+		},
+		drain: s.Shutdown,
+	}, nil
+}
 
 // startSyslog starts the shipper and has the core and the log give it their records.
 func startSyslog(conf *logship.Config, owner *core.Core, cold time.Duration, o Options) (part, error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,10 +12,12 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
 	"reachwind/decide"
+	"reachwind/internal/call"
 	"reachwind/internal/core"
 	"reachwind/internal/discovery"
 	"reachwind/internal/pgfront"
@@ -88,7 +90,8 @@
 	// prepare checks a new configuration; apply takes it over. Where it runs and the new one has it no more, or
 	// the other way round, that is an error: it takes a restart.
 	prepare func(*Edge) (apply func(), err error)
-	stop    func(context.Context)
+	drain   func(context.Context) // a front: take nothing new and answer what was taken; nil: none
+	stop    func(context.Context) // end, once all fronts have; nil: nothing to do
 }
 
 // running is a gateway at work.
@@ -162,12 +165,21 @@
 		}
 		g.parts = append(g.parts, p)
 	}
+	claims := call.NewClaims()
+	if edge.REST != nil {
+		p, err := startREST(edge.REST, owner, claims, log)
+		if err != nil {
+			g.stop()
+			return fmt.Errorf("rest: %w", err)
+		}
+		g.parts = append(g.parts, p)
+	}
 	owner.List(decide.ListSaved, c.Known)
 	front := pgfront.New(owner, pgfront.Config{Classes: c.Decide.Classes, Tenants: c.Decide.Tenants,
 		Max: share.Clients, Spare: int(sparePart * float64(share.Sockets)),
 		ComeBack:  c.Decide.MaxRetryAfter,
 		Keep:      int(bufferReserve * float64(share.Buffers)),
-		StartWait: startWait, WriteWait: writeWait, RefuseWait: refuseWait, IdleMost: idleMost, IdleKeep: int(idlePart * float64(share.Sockets))}, bufs, log)
+		StartWait: startWait, WriteWait: writeWait, RefuseWait: refuseWait, IdleMost: idleMost, IdleKeep: int(idlePart * float64(share.Sockets)), Claims: claims}, bufs, log)
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -192,17 +204,42 @@
 		return fmt.Errorf("accept: %w", err)
 	case <-term.Done():
 	}
+	drained := make(chan struct{})
+	go func() {
+		g.drain(lastCall(c.Decide.Classes))
+		close(drained)
+	}()
 	err = windDown(c, front, listener, log)
+	<-drained
 	g.stop()
 	return err
 }
 
+// drain has all fronts of the parts answer what they took, within so long.
+func (g *running) drain(within time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	var done sync.WaitGroup
+	for _, p := range g.parts {
+		if p.drain != nil {
+			done.Add(1)
+			go func() {
+				defer done.Done()
+				p.drain(ctx)
+			}()
+		}
+	}
+	done.Wait()
+}
+
 // stop ends the parts in the reverse order of their start, all under one deadline.
 func (g *running) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), partsMost)
 	defer cancel()
 	for _, p := range slices.Backward(g.parts) {
-		p.stop(ctx)
+		if p.stop != nil {
+			p.stop(ctx)
+		}
 	}
 }
 
--- a/internal/logqueue/stream_test.go
+++ b/internal/logqueue/stream_test.go
@@ -269,3 +269,65 @@
 		t.Error("sequenceId does not go from 2^31-1 to 1")
 	}
 }
+
+// TestHour: after an hour without a collector all of it comes back from the disk, at its rate and no faster, while
+// each fresh record goes in the tick that made it.
+func TestHour(t *testing.T) {
+	const second, hour, rate = 10, 3600 * 10, 500
+	s := New(Config{Memory: 64 << 10, CatchUp: rate, Disk: true}, 1)
+	disk := map[uint64]bool{}
+	next := uint64(1) // of the lowest that may be on disk
+	save := func(now Time) {
+		for _, seq := range s.Done(nil) {
+			delete(disk, seq)
+		}
+		entries := s.Unsaved(now, 1<<20, nil)
+		for _, e := range entries {
+			disk[e.Seq] = true
+		}
+		s.Saved(entries, true)
+	}
+	push := func(now Time) uint64 {
+		s.Push(&Entry{Worth: logroute.ServedRequest, At: now, Msg: make([]byte, 300)})
+		return s.Next() - 1
+	}
+	now := Time(0)
+	for range hour {
+		now += time.Second / second
+		push(now)
+		save(now)
+	}
+	if memory, onDisk := s.Waiting(); memory+onDisk != hour || s.Bytes() > 64<<10 {
+		t.Fatalf("%d wait in memory, %d on disk, want %d; %d bytes held", memory, onDisk, hour, s.Bytes())
+	}
+	s.Ended(false)
+	begin, sent, have := now, uint64(0), map[uint64]bool{}
+	for len(have) < hour {
+		now += 10 * time.Millisecond
+		fresh := push(now)
+		for _, e := range s.Batch(now, 1<<20, true, nil) {
+			have[e.Seq] = true
+			sent += uint64(len(e.Msg))
+		}
+		if !have[fresh] {
+			t.Fatalf("a fresh record waited behind the backlog, %v after the collector came back", now-begin)
+		}
+		s.Wrote(sent)
+		s.Confirm(sent)
+		save(now)
+		var entries []*Entry
+		for most := s.WantsLoad(20 << 10); most > 0 && next <= hour; next++ {
+			if disk[next] && !s.Holds(next) {
+				entries = append(entries, &Entry{Seq: next, Worth: logroute.ServedRequest, Msg: make([]byte, 300)})
+				most -= 300
+			}
+		}
+		s.Load(entries)
+		if old := len(have) - int((now-begin)/(10*time.Millisecond)); float64(old) > rate*(now-begin).Seconds()+rate/10+1 {
+			t.Fatalf("%d of the backlog in %v", old, now-begin)
+		}
+		if now-begin > 10*time.Minute {
+			t.Fatalf("%d of %d came in ten minutes", len(have), hour)
+		}
+	}
+}
--- a/internal/logship/collector.go
+++ b/internal/logship/collector.go
@@ -36,7 +36,7 @@
 	c := &collector{s: s, name: k.Name, conf: *k, keys: keys, wake: make(chan struct{}, 1), leaving: make(chan struct{}), ended: make(chan struct{})}
 	first := uint64(1)
 	if conf.Spool != "" {
-		c.disk = &disk{c: c, fs: spool.Dir(SpoolDir(conf.Spool, k.Name)), wake: make(chan struct{}, 1), o: spool.Options{
+		c.disk = &disk{c: c, fs: conf.open(SpoolDir(conf.Spool, k.Name)), wake: make(chan struct{}, 1), o: spool.Options{
 			Owner: conf.Syslog.Hostname + "/" + k.Name, Most: conf.Disk / int64(len(conf.Collectors)), Age: conf.MaxAge}}
 		first = c.disk.first()
 	}
@@ -44,6 +44,13 @@
 	return c
 }
 
+func (c *Config) open(dir string) spool.FS {
+	if c.folder != nil {
+		return c.folder(dir)
+	}
+	return spool.Dir(dir)
+}
+
 // SpoolDir is the folder of one collector's spool.
 func SpoolDir(dir, collector string) string {
 	return filepath.Join(dir, "c-"+url.PathEscape(collector))
--- a/internal/logship/config.go
+++ b/internal/logship/config.go
@@ -19,6 +19,7 @@
 
 	"reachwind/internal/logqueue"
 	"reachwind/internal/logroute"
+	"reachwind/internal/spool"
 	"reachwind/internal/syslog"
 	"reachwind/internal/tlskeys"
 )
@@ -76,6 +77,8 @@
 	Collectors []Collector
 	Routes     []Route
 	Seed       uint64
+
+	folder func(dir string) spool.FS // a collector's folder; nil: the operating system's
 }
 
 // The defaults, and what bounds them.
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -385,10 +385,10 @@
 		return nil, fmt.Errorf("class %q takes no such statement", st.Class)
 	case k.Effect == decide.Keyed && !st.Keyed:
 		return nil, fmt.Errorf("class %q needs k", st.Class)
-	case !c.s.claim(st.ID): // under one id two requests would look to members like copies of one
+	case !c.s.conf.Claims.Claim(st.ID): // under one id two requests would look to members like copies of one
 		return nil, errInUse
 	}
-	st.Done = func() { c.s.disclaim(st.ID) }
+	st.Done = func() { c.s.conf.Claims.Disclaim(st.ID) }
 	tenant, ok := c.s.tenants[st.Tenant]
 	if !ok {
 		tenant = -1
--- a/internal/pgfront/server.go
+++ b/internal/pgfront/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"reachwind/decide"
+	"reachwind/internal/call"
 	"reachwind/internal/core"
 	"reachwind/internal/often"
 	"reachwind/internal/pgwire"
@@ -32,6 +33,7 @@
 	RefuseWait time.Duration // how long a refused connection may linger
 	IdleMost   time.Duration // a connection idle for longer is ended,
 	IdleKeep   int           // and the longest idle where so many are
+	Claims     *call.Claims  // ids in work, shared with other fronts; nil: none are
 }
 
 // Core is the part of the core that a front uses.
@@ -55,7 +57,6 @@
 
 	mu       sync.Mutex
 	conns    map[*conn]bool
-	open     map[string]bool // ids of the requests in work
 	refusing int
 	closing  bool
 	done     sync.WaitGroup
@@ -74,7 +75,10 @@
 // New returns a server that hands its requests to c.
 func New(c Core, conf Config, bufs *pgwire.Pool, log *slog.Logger) *Server {
 	s := &Server{core: c, log: log, conf: conf, bufs: bufs,
-		classes: map[string]int{}, tenants: map[string]int{}, conns: map[*conn]bool{}, open: map[string]bool{}}
+		classes: map[string]int{}, tenants: map[string]int{}, conns: map[*conn]bool{}}
+	if s.conf.Claims == nil {
+		s.conf.Claims = call.NewClaims()
+	}
 	for i := range conf.Classes {
 		s.classes[conf.Classes[i].Name] = i
 	}
@@ -201,23 +205,6 @@
 	}
 }
 
-// claim notes that a request is in work and tells whether its id is its own.
-func (s *Server) claim(id string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.open[id] {
-		return false
-	}
-	s.open[id] = true
-	return true
-}
-
-func (s *Server) disclaim(id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.open, id)
-}
-
 // idle notes that a connection waits for a command, busy that it has one.
 func (s *Server) idle(c *conn) {
 	s.mu.Lock()
--- a/internal/pgmember/conn.go
+++ b/internal/pgmember/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"reachwind/decide"
+	"reachwind/internal/call"
 	"reachwind/internal/core"
 	"reachwind/internal/pgwire"
 	"reachwind/internal/settings"
@@ -216,7 +217,12 @@
 	if j.attempt != nil {
 		until = j.attempt.Until
 		wait := max((until - c.p.core.Now()).Milliseconds(), 1)
-		query = j.attempt.Request.Call.(*pgwire.Statement).Query(wait)
+		switch c := j.attempt.Request.Call.(type) {
+		case *pgwire.Statement: // as it came
+			query = c.Query(wait)
+		case *call.Request:
+			query = pgwire.Form(c, wait)
+		}
 	}
 	_ = c.SetWriteDeadline(c.p.core.At(until))
 	if _, err := query.WriteTo(c.Conn.Conn); err != nil {
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -267,12 +267,18 @@
 	if bytes.Count(rest, []byte{'\''})%2 != 0 {
 		return nil, errors.New("quote without end")
 	}
-	if s.Key = quoted(rest); s.Key == "" || len(s.Key) > maxName {
+	if s.Key = quoted(rest); s.Key == "" || len(s.Key) > maxName && !s.page(rest) {
 		return nil, errors.New("no key, or one of impossible length")
 	}
 	return s, nil
 }
 
+// page tells whether the statement asks for a page, whose name may be longer as no table keeps it.
+func (s *Statement) page(rest []byte) bool {
+	_, _, _, ok := ParsePage(s.Key)
+	return ok && s.Read && len(s.Key) <= 5*maxName && bytes.Contains(rest, []byte(" FROM pages "))
+}
+
 const maxFields = 32 // in a comment
 
 const maxName = 256 // bytes of an id or a key; both are kept in tables
--- /dev/null
+++ b/internal/restfront/server.go
@@ -0,0 +1,352 @@
+// Package restfront is the clients' side for REST: HTTP/1.1 requests for single
+// values, through the same core and rules as every other front. Each request gets
+// one answer. What it refuses before the core has it, it refuses by a problem
+// document (RFC 9457) with a type of its own.
+package restfront
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+	"unicode/utf8"
+
+	"github.com/cespare/xxhash/v2"
+
+	"reachwind/decide"
+	"reachwind/internal/call"
+	"reachwind/internal/core"
+	"reachwind/internal/cursor"
+	"reachwind/internal/pgwire"
+	"reachwind/internal/record"
+)
+
+// Config holds what the front is told.
+type Config struct {
+	Listen   string
+	Max      int           // connections
+	Body     int64         // bytes of a value
+	Header   time.Duration // a request's header must have come by then
+	Read     time.Duration // and all of it by then
+	Write    time.Duration // an answer must have been taken by then, on top of what the client waits
+	Idle     time.Duration // a connection idle for longer ends
+	Classes  []decide.Class
+	Tenants  []decide.Tenant
+	ComeBack time.Duration // told to those refused for want of room, 0 = nothing
+	Keys     string        // file with the keys of cursors; empty: a key of this process alone
+	Life     time.Duration // of a cursor
+}
+
+const (
+	headerMost  = 16 << 10
+	defaultWait = 5 * time.Second
+	front       = "rest" // as records have it
+)
+
+// Core is the part of the core that a front uses.
+type Core interface {
+	Now() core.Time
+	Arrive(*core.Request)
+	Gone(*core.Request)
+	Turned(front string, o record.Outcome, why record.Cause)
+}
+
+// Server accepts clients.
+type Server struct {
+	core    Core
+	conf    Config
+	log     *slog.Logger
+	claims  *call.Claims
+	classes map[string]int
+	tenants map[string]int
+	ring    atomic.Pointer[cursor.Ring]
+	prefix  string // of ids that it gives
+	last    atomic.Uint64
+	http    http.Server
+	l       net.Listener
+	open    atomic.Int64
+	done    sync.WaitGroup
+}
+
+// New returns a server that hands its requests to c. Ids in work are shared with the other fronts by claims.
+func New(c Core, conf Config, claims *call.Claims, log *slog.Logger) (*Server, error) {
+	s := &Server{core: c, conf: conf, log: log, claims: claims, classes: map[string]int{}, tenants: map[string]int{}}
+	ring, err := conf.ring()
+	if err != nil {
+		return nil, err
+	}
+	s.ring.Store(ring)
+	for i := range conf.Classes {
+		s.classes[conf.Classes[i].Name] = i
+	}
+	for i := range conf.Tenants {
+		s.tenants[conf.Tenants[i].Name] = i
+	}
+	var b [6]byte
+	_, _ = rand.Read(b[:])
+	s.prefix = "rest-" + hex.EncodeToString(b[:]) + "-"
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/clusters/{cluster}/items/{id}", func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, call.Read) })
+	mux.HandleFunc("PUT /v1/clusters/{cluster}/items/{id}", func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, call.Write) })
+	mux.HandleFunc("GET /v1/clusters/{cluster}/items", func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, call.List) })
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+		(&problem{kind: "not-found", status: http.StatusNotFound, detail: "there is no such resource; want /v1/clusters/{n}/items or an item of it"}).write(w)
+	})
+	s.http = http.Server{Handler: mux, ReadHeaderTimeout: conf.Header, ReadTimeout: conf.Read, IdleTimeout: conf.Idle, MaxHeaderBytes: headerMost,
+		WriteTimeout: conf.Read + call.MaxWait + conf.Write, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+	return s, nil
+}
+
+// Prepare checks a new configuration. apply takes over its keys, from the same file or another: cursors sealed by
+// keys that both hold go on.
+func (s *Server) Prepare(conf Config) (apply func(), err error) {
+	if conf.Keys == "" && s.conf.Keys == "" { // the process keeps its own key
+		return func() {}, nil
+	}
+	ring, err := conf.ring()
+	if err != nil {
+		return nil, err
+	}
+	return func() { s.ring.Store(ring) }, nil
+}
+
+// Start listens and serves until Shutdown.
+func (s *Server) Start() error {
+	l, err := net.Listen("tcp", s.conf.Listen)
+	if err != nil {
+		return err
+	}
+	s.l = &limited{Listener: l, s: s}
+	s.done.Add(1)
+	go func() {
+		defer s.done.Done()
+		_ = s.http.Serve(s.l)
+	}()
+	s.log.Info("serving REST", "listen", l.Addr().String())
+	return nil
+}
+
+// Addr is where it listens.
+func (s *Server) Addr() string { return s.l.Addr().String() }
+
+// Shutdown takes no more connections, answers what was taken for as long as ctx lasts, and ends.
+func (s *Server) Shutdown(ctx context.Context) {
+	if s.http.Shutdown(ctx) != nil {
+		_ = s.http.Close()
+	}
+	s.done.Wait()
+}
+
+// limited ends connections beyond the limit at once, so that those within it are served.
+type limited struct {
+	net.Listener
+	s *Server
+}
+
+func (l *limited) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.s.open.Add(1) > int64(l.s.conf.Max) {
+			l.s.open.Add(-1)
+			_ = c.SetWriteDeadline(time.Now().Add(10 * time.Millisecond))
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n")
+			_ = c.Close()
+			l.s.core.Turned(front, record.Refused, record.Buffers)
+			continue
+		}
+		return &tracked{Conn: c, s: l.s}, nil
+	}
+}
+
+type tracked struct {
+	net.Conn
+	s    *Server
+	once sync.Once
+}
+
+func (c *tracked) Close() error {
+	c.once.Do(func() { c.s.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// client takes the answer to one request.
+type client struct{ answers chan core.Answer }
+
+// Answer never blocks: there is one answer, and room for it.
+func (c client) Answer(a core.Answer) { c.answers <- a }
+
+// serve carries out one request.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, op call.Op) {
+	came := s.core.Now()
+	q, list, p := s.request(r, op, came)
+	if len(r.TransferEncoding) > 0 { // whose end another server before us might see elsewhere
+		w.Header().Set("Connection", "close")
+	}
+	if p != nil {
+		s.core.Turned(front, p.outcome, p.cause)
+		p.write(w)
+		return
+	}
+	k := client{make(chan core.Answer, 1)}
+	q.Client = k
+	s.core.Arrive(q)
+	select {
+	case a := <-k.answers:
+		s.answer(w, r, op, list, &a)
+	case <-r.Context().Done():
+		s.core.Gone(q)
+		select { // it may have been answered meanwhile
+		case a := <-k.answers:
+			if a.Body != nil {
+				a.Body.Release()
+			}
+		default:
+		}
+	}
+}
+
+// request makes a request of what came, or the problem with it.
+func (s *Server) request(r *http.Request, op call.Op, came core.Time) (*core.Request, *listing, *problem) {
+	bad := func(kind, format string, args ...any) (*core.Request, *listing, *problem) {
+		return nil, nil, &problem{kind: kind, status: http.StatusBadRequest, detail: fmt.Sprintf(format, args...), outcome: record.Failed, cause: record.Invalid}
+	}
+	if len(r.TransferEncoding) > 0 {
+		return nil, nil, &problem{kind: "length-required", status: http.StatusLengthRequired, detail: "the body is chunked, want a Content-Length", outcome: record.Failed, cause: record.Invalid}
+	}
+	h := r.Header
+	cluster, err := strconv.ParseInt(r.PathValue("cluster"), 10, 64)
+	if err != nil || cluster < 0 {
+		return bad("cluster", "the cluster is %.40q, want a number", r.PathValue("cluster"))
+	}
+	item := r.PathValue("id")
+	if op == call.List {
+		item = "list"
+	}
+	if item == "" || len(item) > 256 || !utf8.ValidString(item) || strings.ContainsRune(item, 0) {
+		return bad("id", "the id has %d bytes, want 1 to 256 of UTF-8 without zeros", len(item))
+	}
+	class, ok := s.classes[h.Get("Reachwind-Class")]
+	if !ok {
+		return bad("class", "the class is %.40q, want one of the settings in Reachwind-Class", h.Get("Reachwind-Class"))
+	}
+	k := &s.conf.Classes[class]
+	if k.Writes() != (op == call.Write) {
+		return bad("class", "class %q takes no %s", k.Name, r.Method)
+	}
+	tenant, ok := s.tenants[h.Get("Reachwind-Tenant")]
+	if !ok {
+		tenant = -1
+		if t := h.Get("Reachwind-Tenant"); t != "" && !pgwire.Plain(t) {
+			return bad("tenant", "the tenant is %.40q, want a plain name", t)
+		}
+	}
+	wait := defaultWait
+	if d := h.Get("Reachwind-Deadline-Ms"); d != "" {
+		ms, err := strconv.ParseInt(d, 10, 64)
+		if err != nil || ms < 0 || ms > 1<<40 {
+			return bad("deadline", "the deadline is %.40q, want milliseconds", d)
+		}
+		wait = time.Duration(ms) * time.Millisecond
+	}
+	c := &call.Request{Op: op, ID: h.Get("Reachwind-Request-Id"), Class: k.Name, Tenant: h.Get("Reachwind-Tenant"), Cluster: cluster, Item: item,
+		Key: h.Get("Idempotency-Key"), Retry: h.Get("Reachwind-Retry") == "1"}
+	if c.ID == "" {
+		c.ID = s.prefix + strconv.FormatUint(s.last.Add(1), 10)
+	} else if !pgwire.Plain(c.ID) {
+		return bad("request-id", "the request id is %.40q, want a plain name", c.ID)
+	}
+	if k.Effect == decide.Keyed && c.Key == "" || c.Key != "" && !pgwire.Plain(c.Key) {
+		return bad("idempotency-key", "the Idempotency-Key is %.40q, want a plain name", c.Key)
+	}
+	if op == call.Write {
+		if c.Value, err = io.ReadAll(http.MaxBytesReader(nil, r.Body, s.conf.Body)); err != nil {
+			var long *http.MaxBytesError
+			if errors.As(err, &long) {
+				return nil, nil, &problem{kind: "too-large", status: http.StatusRequestEntityTooLarge, detail: fmt.Sprintf("the value is longer than %d bytes", s.conf.Body), outcome: record.Failed, cause: record.Invalid}
+			}
+			return bad("body", "the body did not come whole")
+		}
+	}
+	var list *listing
+	atLeast := core.Time(0)
+	if op == call.List {
+		var p *problem
+		if list, p = s.listing(r, c, came); p != nil {
+			return nil, nil, p
+		}
+		atLeast = list.from.Position
+	}
+	if !s.claims.Claim(c.ID) {
+		return nil, nil, &problem{kind: "request-id-in-use", status: http.StatusConflict, detail: "a request with this id is in work", outcome: record.Failed, cause: record.InUse}
+	}
+	c.Done = func() { s.claims.Disclaim(c.ID) }
+	q := &core.Request{Class: class, Tenant: tenant, Group: cluster, Retry: c.Retry, Front: front, Call: c, AtLeast: atLeast, Until: came + min(core.Time(min(wait, call.MaxWait)), k.Deadline)}
+	if k.HasSession() {
+		if q.Session = h.Get("Reachwind-Session"); q.Session == "" {
+			q.Session = c.Item // as in PostgreSQL, where the quoted key names it
+		}
+	}
+	return q, list, nil
+}
+
+// answer writes a final answer.
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, op call.Op, list *listing, a *core.Answer) {
+	h := w.Header()
+	switch a.Verdict {
+	case core.Refused:
+		refused(a.After).write(w)
+		return
+	case core.Failed:
+		failed(a.MayHaveRun).write(w)
+		return
+	}
+	defer a.Body.Release()
+	value, err := a.Body.(call.Answer).Value()
+	if err != nil {
+		failed(true).write(w)
+		return
+	}
+	if a.Position > 0 {
+		h.Set("Reachwind-Position", strconv.FormatInt(a.Position.Milliseconds(), 10))
+	}
+	h.Set("Content-Type", "application/octet-stream")
+	if op == call.List {
+		if value, err = s.page(h, r, list, value, a.Position); err != nil {
+			failed(true).write(w)
+			return
+		}
+		h.Set("Content-Type", "application/json")
+	}
+	tag := `"` + strconv.FormatUint(xxhash.Sum64(value), 16) + `"`
+	h.Set("ETag", tag)
+	if op != call.Write && matches(r.Header.Get("If-None-Match"), tag) {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	h.Set("Content-Length", strconv.Itoa(len(value)))
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.conf.Write))
+	_, _ = w.Write(value)
+}
+
+// matches tells whether an If-None-Match names a tag, RFC 9110 section 13.1.2.
+func matches(field, tag string) bool {
+	for one := range strings.SplitSeq(field, ",") {
+		if one = strings.TrimSpace(one); one == "*" || strings.TrimPrefix(one, "W/") == tag {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -78,6 +78,7 @@
 	drain   bool
 	gone    bool
 	lag     time.Duration
+	high    int64 // the highest position it was at
 	frozen  int64 // position that it stands at while cut off from the log, 0 = it follows
 	started int64
 
@@ -168,6 +169,13 @@
 	c.groups[group].put(id, value, time.Now().UnixMilli())
 }
 
+// Seed writes a row that has been there for long: every member holds it.
+func (c *Cluster) Seed(group int64, id, value string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.groups[group].put(id, value, 1)
+}
+
 func (g *group) put(id, value string, at int64) {
 	v := g.rows[id]
 	if len(v) == 0 {
@@ -272,16 +280,18 @@
 	return m.primary
 }
 
-// position is up to where a member has applied the log. The caller holds the lock.
+// position is up to where a member has applied the log; it never goes back. The caller holds the lock.
 func (m *Member) position() int64 {
-	now := time.Now().UnixMilli()
+	at := time.Now().UnixMilli()
 	switch {
 	case m.primary:
-		return now
 	case m.frozen > 0:
-		return m.frozen
+		at = m.frozen
+	default:
+		at -= m.lag.Milliseconds()
 	}
-	return now - m.lag.Milliseconds()
+	m.high = max(m.high, at)
+	return m.high
 }
 
 // elect has replicas take over from primaries that are down or hang.
--- a/internal/standin/cluster/serve.go
+++ b/internal/standin/cluster/serve.go
@@ -3,15 +3,18 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sort"
 	"strconv"
 	"strings"
 	"time"
 
+	"reachwind/internal/call"
 	"reachwind/internal/pgwire"
 )
 
@@ -141,6 +144,9 @@
 	}
 	if st.Read {
 		value, _ := m.g.get(st.Key, m.position())
+		if prefix, after, limit, ok := pgwire.ParsePage(st.Key); ok && strings.Contains(string(buf.B), " FROM pages ") {
+			value = m.g.page(prefix, after, limit, m.position())
+		}
 		m.Served++
 		return m.stamp(row(out, value, "SELECT 1"), m.position())
 	}
@@ -174,6 +180,43 @@
 	return lsn, true
 }
 
+const pageBytes = 40 << 10 // of values; with base64 and ids it stays below what a value may hold
+
+// page is a page of the rows as of a position.
+func (g *group) page(prefix, after string, limit int, at int64) string {
+	p := call.Page{Items: []call.Item{}}
+	size := 0
+	for i := sort.SearchStrings(g.ids, max(prefix, after)); i < len(g.ids) && strings.HasPrefix(g.ids[i], prefix); i++ {
+		if g.ids[i] <= after && after != "" {
+			continue
+		}
+		value, ok := g.get(g.ids[i], at)
+		if !ok {
+			continue
+		}
+		if size += len(value) + len(g.ids[i]); len(p.Items) == limit || size > pageBytes && len(p.Items) > 0 {
+			p.More = true
+			break
+		}
+		p.Items = append(p.Items, call.Item{ID: g.ids[i], Value: []byte(plain(value))})
+	}
+	text, err := json.Marshal(p)
+	if err != nil {
+		panic(err) // strings and bytes
+	}
+	return string(text)
+}
+
+// plain is a stored value as its bytes: bytea is stored as it was written, in hexadecimal.
+func plain(value string) string {
+	if h, ok := strings.CutPrefix(value, `\x`); ok {
+		if raw, err := hex.DecodeString(h); err == nil {
+			return string(raw)
+		}
+	}
+	return value
+}
+
 // insert finds the value and the idempotency key of an INSERT.
 func insert(text []byte) (value, key string) {
 	s := string(text)
