Ration cold members by a chance for each request, and let writes look for their primary

Seen, counted over 80 gateways by a trace of each probe and each refusal: - 60 to 75 % of all probes (0.33 to 0.41 a request) looked for a primary, all members of a group at once, and again each 150 ms; 496 of 876 for session reads asked for a commit under 100 ms old, 1 % of these brought it, as reports are 73 to 257 ms old.

Change: a write with no sound primary tries members by the age of their role, one that is none turns it away untouched; looks come each 150 ms or 5 ms for each gateway; probes for one go singly; no probe for what reports can't tell yet; free and bounded reads like a replica unheard of a quarter better. Each request has its own chance at a cold member, shared out among a group's; one without room is as good as none, so the primary serves.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -18,59 +18,72 @@
 
 // Tuned values, each with its reason.
 const (
-	sweepEvery  = 10 * time.Millisecond // timers, holds and silence are looked at so often; well under any aim
-	idleEvery   = 100 * time.Millisecond
-	clockSlack  = 2 * time.Millisecond // rounding of told positions and ages
-	listLag     = 8 * time.Second      // a list's word on roles is older than it looks; newer evidence beats it
-	costGuess   = 0.2                  // first guess of a class's cost, as a part of its aim
-	costUp      = 0.01                 // cost follows the faster answers, as waiting is not cost:
-	costDown    = 0.03                 // three times quicker down than up settles near the lower quartile
-	blend       = 0.1                  // weight of one answer in a member's averages: about ten answers
-	blendMost   = 0.9                  // and of one after a long silence, as old answers are little evidence:
-	blendTime   = 4 * time.Second      // those of so long ago are
-	stretchMax  = 30.0                 // one very late answer must not shut a member out for good
-	stretchFade = 3 * time.Second      // unheard-of slowness is forgotten, so that a mended member is tried
-	zoneFactor  = 1.2                  // a member of another zone must be a fifth better; breaks ties by zone
-	tieNoise    = 0.1                  // seeded chance, so that fronts that see the same don't herd
-	behindTimes = 3.0                  // a replica further behind than so many tightest bounds counts as
-	behindLoad  = 2.0                  // holding so many times its work: applying takes cores too
-	longTimes   = 4.0                  // a read costing so many times the cheapest class is long
-	strainAim   = 0.45                 // answers taking this part of their aim: queues are as long as is useful
-	cutBy       = 0.85                 // a limit falls so much for each round trip above strainAim
-	limitLeast  = 2.0                  // a limit stays above so many small requests: answers tell of recovery
-	shedAim     = 0.38                 // where answers take more of their aim new reads stay away by chance,
-	shedSteep   = 3.0                  // seven in eight where they take twice this
-	spareShare  = 0.5                  // reads spill to a primary under this part of its limit
-	silentTimes = 5.0                  // an answer overdue by so many times what is usual there is silence
-	silentFew   = 2.0                  // three times that for one attempt alone, one and a half times for four
+	sweepEvery = 10 * time.Millisecond // timers, holds and silence are looked at so often; well under any aim
+	clockSlack = 2 * time.Millisecond  // rounding of told positions and ages
+	listLag    = 8 * time.Second       // a list's word on roles is older than it looks; newer evidence beats it
+	costGuess  = 0.2                   // first guess of a class's cost, as a part of its aim
+
+	costUp, costDown = 0.01, 0.03 // cost follows the faster answers, as waiting is not cost
+
+	blend       = 0.1             // weight of one answer in a member's averages: about ten answers
+	blendMost   = 0.9             // and of one after a long silence, as old answers are little evidence:
+	blendTime   = 4 * time.Second // those of so long ago are
+	stretchMax  = 30.0            // one very late answer must not shut a member out for good
+	stretchFade = 3 * time.Second // unheard-of slowness is forgotten, so that a mended member is tried
+	zoneFactor  = 1.2             // a member of another zone must be a fifth better; breaks ties by zone
+	tieNoise    = 0.1             // seeded chance, so that fronts that see the same don't herd
+
+	behindTimes, behindLoad = 3.0, 2.0 // a replica so many tightest bounds behind is as good as twice as busy
+
+	longTimes  = 4.0  // a read costing so many times the cheapest class is long
+	strainAim  = 0.45 // answers taking this part of their aim: queues are as long as is useful
+	cutBy      = 0.85 // a limit falls so much for each round trip above strainAim
+	limitLeast = 2.0  // a limit stays above so many small requests: answers tell of recovery
+
+	shedAim, shedSteep = 0.38, 3.0 // above this part of their aim reads stay away by chance, 7 in 8 at twice it
+
+	luckShift   = 1e3 // of a request's luck, for a second chance that owes nothing to the first
+	spareShare  = 0.5 // reads spill to a primary under this part of its limit
+	silentTimes = 5.0 // an answer overdue by so many times what is usual there is silence
+	silentFew   = 2.0 // three times that for one attempt alone, one and a half times for four
 	silentLeast = 60 * time.Millisecond
-	failsMost   = 2                      // so many broken connections with no answer between are no chance
-	lostTimes   = 5.0                    // an attempt out for so many times what is usual there, while
-	lostPassed  = 3                      // so many sent later were answered, has lost its answer
-	lossyLeast  = 0.08                   // where so many of all answers are lost it is no chance:
-	lossyBlend  = 0.02                   // over about fifty attempts
-	errsMost    = 0.3                    // a member that errs more often is the last to be used
-	trialFirst  = 300 * time.Millisecond // a suspect gets one trial request so soon, then at doubling spans
-	trialMost   = time.Second
-	lateTimes   = 1.5                   // a member's usual latency times this must be left for a held request,
-	freshTry    = 0.6                   // but no more than this part of its aim
-	rescueAt    = 0.5                   // a read out for this part of its aim may go elsewhere too
-	retryEarn   = 0.2                   // further attempts after failures: one for five requests,
-	retryMost   = 20.0                  // with a burst of so many
-	retryPause  = 50 * time.Millisecond // a member that turned a request away isn't asked again for it before
-	seekEvery   = 150 * time.Millisecond
-	seekMost    = time.Second
-	askWait     = 30 * time.Millisecond  // a read waits so long for a probe of its own,
-	askTimes    = 2                      // at most so often
-	probeWork   = time.Millisecond       // what a probe is booked at on a cold member, guessed high
-	warmFade    = 0.9995                 // a sweep, of the most a warm member took: half in 14 s
-	coldShare   = 0.5                    // part of the stated multiple used on a cold member, the rest for error
-	askFirst    = 500 * time.Millisecond // a failed ask is repeated after this, at doubling spans up to askMost,
-	askMost     = 2 * time.Second        // or after those below for each front: one service answers them in turn
-	askSpread   = 30 * time.Millisecond  // first asks of a fleet's restart come at this mean distance,
-	askEach     = 50 * time.Millisecond  // first repeats, as failed asks cost it too,
-	askEachMost = 200 * time.Millisecond // later ones
-	sessionMost = 4096                   // sessions a group whose commits are kept while a member may lack them
+	failsMost   = 2 // so many broken connections with no answer between are no chance
+
+	lostTimes, lostPassed = 5.0, 3 // out for so long, in as is usual there, while so many sent later came: lost
+
+	lossyLeast, lossyBlend = 0.08, 0.02 // no chance where so many answers are lost, over about fifty attempts
+
+	errsMost = 0.3 // a member that errs more often is the last to be used
+
+	trialFirst, trialMost = 300 * time.Millisecond, time.Second // a suspect gets one trial, at doubling spans
+
+	lateTimes = 1.5 // a member's usual latency times this must be left for a held request,
+	freshTry  = 0.6 // but no more than this part of its aim
+
+	rescueAt = 0.5 // a read out for this part of its aim may go elsewhere too
+
+	retryEarn, retryMost = 0.2, 20.0 // further attempts after failures: for one in five requests, in bursts
+
+	retryPause = 50 * time.Millisecond // a member that turned a request away isn't asked again for it before
+
+	seekEvery, seekEach = 150 * time.Millisecond, 5 * time.Millisecond // between looks for a primary
+
+	probeEach  = 10 * time.Millisecond // a member is probed by all fronts together once in this at most
+	guessSpare = 2                     // attempts left for when it is known
+	renewBy    = 0.25                  // a replica unheard of for the tightest bound is liked so much better
+
+	askWait, askTimes = 30 * time.Millisecond, 2 // a read waits so long for a probe of its own, at most so often
+
+	demandFade = 0.995 // a request, of the work asked for: over about two hundred
+	coldShare  = 0.5   // part of the stated multiple used on a cold member, the rest for error
+
+	askFirst, askMost = 500 * time.Millisecond, 2 * time.Second // failed asks come again, at doubling spans,
+
+	askSpread = 30 * time.Millisecond // first asks of a fleet's restart come at this mean distance,
+
+	askEach, askEachMost = 50 * time.Millisecond, 200 * time.Millisecond // or for each front
+
+	sessionMost = 4096 // sessions a group whose commits are kept while a member may lack them
 	goneKeep    = time.Minute
 	memberMost  = 1024            // members kept; a longer list is cut
 	askLost     = 8 * time.Second // an ask with no reply for so long is asked again; its own end comes before
@@ -85,7 +98,8 @@
 	r := &Router{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x656c646572)), now: never,
 		members: map[string]*member{}, groups: map[int64]*group{},
 		requests: map[uint64]*request{}, credit: make([]float64, len(cfg.Tenants)), retries: retryMost,
-		wakeAt: never, logAt: never, sweptAt: never, askGap: max(askFirst, askEach*Time(cfg.Fronts))}
+		wakeAt: never, logAt: never, sweptAt: never, askGap: max(askFirst, askEach*Time(cfg.Fronts)),
+		seekGap: max(seekEvery, seekEach*Time(cfg.Fronts))}
 	for _, c := range cfg.Classes {
 		r.classes = append(r.classes, class{Class: c, cost: costGuess * float64(c.Aim)})
 		if c.Consistency == Bounded && (r.freshFor == 0 || c.Bound < r.freshFor) {
@@ -116,7 +130,7 @@
 
 // wake keeps the sweep going, and brings it forward when a request comes to an idle front.
 func (r *Router) wake() {
-	at := r.now + idleEvery
+	at := r.now + 10*sweepEvery
 	if len(r.open) > 0 {
 		at = r.now + sweepEvery
 	}
@@ -222,7 +236,6 @@
 		r.members[l.ID] = m
 	} else if l.Started > m.Started { // it started anew: cold, no primary, and as yet unproven
 		m.stretch, m.strain, m.limit, m.suspect, m.trialGap = 1, 0, limitLeast*r.leastCost(), false, trialFirst
-		m.done = m.done[:0]
 		if m.role == Primary && m.roleAt < l.Started {
 			m.role, m.roleAt = Replica, l.Started
 		}
@@ -312,6 +325,11 @@
 	r.requests[q.id] = q
 	r.open = append(r.open, q)
 	r.retries = min(retryMost, r.retries+retryEarn)
+	r.usual, r.reads, r.writes = r.usual*demandFade, r.reads*demandFade, r.writes*demandFade
+	if !e.IsRetry {
+		r.usual += k.cost
+	}
+	*r.demand(k) += k.cost
 	worth := k.Worth * r.share(e.Tenant)
 	if !e.IsRetry {
 		k.longest = max(k.longest, e.Remaining)
@@ -435,7 +453,6 @@
 			r.send(q, m)
 		} else {
 			r.waits++
-			q.group.wanted = r.now
 		}
 	}
 }
@@ -460,7 +477,7 @@
 		if p != nil && r.usable(p, q) && r.room(p, q, 1) {
 			return p
 		}
-		return nil
+		return r.guess(q, p)
 	}
 	need, qualified := r.need(q), false
 	var best, ahead, errs *member
@@ -479,8 +496,9 @@
 			}
 			continue
 		}
-		qualified = true
-		if !r.room(m, q, 1) {
+		room := r.room(m, q, 1)
+		qualified = qualified || room || !r.cold(m) // a cold one without room is as good as none
+		if !room {
 			continue
 		}
 		s := r.score(m, q)
@@ -499,7 +517,7 @@
 	}
 	switch {
 	case best != nil:
-		if r.spares(best, q) {
+		if r.cold(best) || r.spares(best, q) {
 			return best
 		}
 		return nil
@@ -508,6 +526,7 @@
 	case !qualified && r.cfg.MayProbe && q.class.Consistency != Fresh && r.ask(q, p, need):
 		return nil
 	case p == nil || !r.usable(p, q):
+		q.group.wanted = r.now
 		return errs
 	case !qualified && r.room(p, q, 1) && r.spares(p, q), qualified && r.room(p, q, spareShare):
 		return p
@@ -515,6 +534,25 @@
 	return errs
 }
 
+// guess picks a member that may have become primary, for a write: one that is not turns it away untouched,
+// which is quicker than a probe and costs it less.
+func (r *Router) guess(q *request, p *member) (best *member) {
+	if !q.group.leaderless(p) {
+		return nil
+	}
+	if r.cfg.MaxAttempts > 0 && len(q.attempts)+guessSpare >= r.cfg.MaxAttempts {
+		q.group.wanted = r.now
+		return nil
+	}
+	for _, m := range q.group.members {
+		if m != p && r.now-m.roleAt >= r.seekGap && (best == nil || m.roleAt < best.roleAt) &&
+			r.usable(m, q) && r.room(m, q, 1) {
+			best = m
+		}
+	}
+	return best
+}
+
 // spares tells whether m should take a read. Its answers tell of the load of all fronts: where they come
 // late reads stay away by chance, the likelier the later, so that others are in time and writes get through.
 // What is old of m gives way to what members of its role have in common. It could harm where aims are near
@@ -531,6 +569,9 @@
 	if m.Zone != r.cfg.Zone {
 		s *= zoneFactor
 	}
+	if k := q.class.Consistency; k == AnyData || k == Bounded { // answers renew what is known
+		s *= 1 - renewBy*min(1, float64(r.now-m.pos-m.lag)/float64(r.freshFor))
+	}
 	if m.lag > behindTimes*r.freshFor { // it needs its cores to catch up
 		s *= behindLoad
 	}
@@ -584,7 +625,7 @@
 // room tells whether a member may take the request's work on top of what it holds, within part of its limit.
 func (r *Router) room(m *member, q *request, part float64) bool {
 	if r.cold(m) {
-		return r.coldRoom(m, q.class.cost)
+		return r.coldRoom(m, q)
 	}
 	if m.limit == 0 {
 		return part == 1 || m.strain < strainAim*part
@@ -600,7 +641,6 @@
 	m.open = append(m.open, a)
 	m.booked += a.cost
 	r.await(m, a)
-	r.spend(m, a.cost)
 	if m.suspect {
 		m.trialAt = r.now + m.trialGap
 		m.trialGap = min(2*m.trialGap, trialMost)
@@ -773,12 +813,6 @@
 	} else if m.limit > 0 && m.booked+a.cost >= m.limit/2 {
 		m.limit += a.cost * a.cost / m.limit
 	}
-	if n := len(m.done); !r.cold(m) && r.cfg.FallTime > 0 { // what a warm member takes
-		m.done = append(m.done, spent{r.now, a.cost})
-		if n > 0 && m.done[n/2].at < r.now-r.cfg.FallTime {
-			m.done = slices.DeleteFunc(m.done, func(s spent) bool { return s.at < r.now-r.cfg.FallTime })
-		}
-	}
 }
 
 // cutLimit lowers the work a member may hold, at most once a round trip.
@@ -834,56 +868,36 @@
 	return m.Started != 0 && r.now < m.Started+r.cfg.ColdTime
 }
 
-// coldRoom keeps a cold member's budget for this front alone. All fronts together send a warm member what it
-// can take, so each may send a cold one the cold part of what itself sends to a warm one on average, of any
-// group. What is no whole number of requests is rounded by seeded chance, drawn anew about once a span:
-// rounded up, or to one at least, hundreds of fronts would send a multiple of the budget.
-func (r *Router) coldRoom(m *member, cost float64) bool {
-	if r.now >= m.luckAt {
-		m.luck, m.luckAt = r.rng.Float64(), r.now+Time((0.5+r.rng.Float64())*float64(r.cfg.FallTime))
-	}
-	part := r.cfg.ColdShare + (1-r.cfg.ColdShare)*float64(r.now-m.Started)/float64(max(r.cfg.ColdTime, 1))
-	budget := max(r.warm*part*r.cfg.FallMultiple*coldShare, cost/float64(r.cfg.Fronts))
-	return r.lately(m)+m.luck*cost <= budget
-}
-
-// spend books work sent to a cold member on its budget.
-func (r *Router) spend(m *member, cost float64) {
-	if r.cold(m) {
-		m.done = append(m.done, spent{r.now, cost})
-	}
-}
-
-// lately is the work in m.done within the span over which a cold member's load counts.
-func (r *Router) lately(m *member) (sum float64) {
-	for _, d := range m.done {
-		if d.at >= r.now-r.cfg.FallTime {
-			sum += d.cost
+// coldRoom keeps to a cold member's budget. All fronts together ask of a member on average what is usual, and
+// of a cold one each may ask the cold part of it. In a large fleet this is less than one request of a front,
+// which hears too seldom from any one to spend a budget of its own: so each request has its chance by itself,
+// and what all fronts send adds up, whichever of them have something to send. The cold members of a group
+// share the chance out, as two that are drawn apart would often both miss.
+func (r *Router) coldRoom(m *member, q *request) bool {
+	luck := q.luck * luckShift
+	for _, o := range m.group.members {
+		part := r.cfg.ColdShare + (1-r.cfg.ColdShare)*float64(r.now-o.Started)/float64(max(r.cfg.ColdTime, 1))
+		budget := r.usual / max(1, r.inList) * part * r.cfg.FallMultiple * coldShare
+		chance := budget / max(1, *r.demand(q.class)) * float64(len(r.order))
+		if o == m {
+			return luck-math.Floor(luck) < chance
 		}
-	}
-	return sum
-}
-
-// measureWarm takes the mean work that warm members took from here, and the most of it lately: what they can
-// take shows when there is much. With none left the last measure holds.
-func (r *Router) measureWarm() {
-	sum, n := 0.0, 0.0
-	for _, m := range r.members { // in any order: a sum of whole ns
-		if !r.cold(m) && !m.suspect && !m.gone {
-			sum, n = sum+math.Round(r.lately(m)), n+1
+		if r.cold(o) && !o.gone && !q.class.Writes() {
+			luck -= chance
 		}
 	}
-	if n > 0 {
-		r.warm = max(sum/n, r.warm*warmFade)
-	}
+	return false
 }
 
 // The sweep: deadlines, silence, rescue, probing and asking.
 
 func (r *Router) sweep() {
-	r.measureWarm()
+	r.inList = 0
 	for _, g := range r.order {
 		for _, m := range g.members {
+			if !m.gone {
+				r.inList++
+			}
 			if r.now > m.overdue {
 				r.suspect(m, false)
 			}
@@ -953,21 +967,25 @@
 		g.lost = true
 		r.note(PrimaryLost, g, "")
 	}
-	if !r.cfg.MayProbe || p != nil && !p.suspect || r.now-g.wanted > 2*sweepEvery {
-		g.seekGap = seekEvery
+	if !r.cfg.MayProbe || !g.leaderless(p) || r.now-g.wanted > 2*sweepEvery {
 		return
 	}
+	var best *member // one at a time, as any may be the one
 	for _, m := range g.members {
-		if r.now-m.probedAt >= g.seekGap && r.probe(m) {
-			g.seekGap = min(seekMost, g.seekGap+seekEvery/Time(len(g.members)))
+		if m != p && r.now-max(m.probedAt, m.roleAt) >= r.seekGap && (best == nil || m.probedAt < best.probedAt) {
+			best = m
 		}
 	}
+	r.probe(best)
 }
 
 // ask probes a replica for a read that none is known to qualify for, the one that SELF would take, and tells
 // whether to wait for it. Polling would cost every front probes of every member. A silent probe costs a read
 // askWait, and probes that brought nothing of use come at growing gaps.
 func (r *Router) ask(q *request, p *member, need Time) bool {
+	if r.now-need < r.reportAge { // no report can tell of it yet
+		return false
+	}
 	var best *member
 	var least float64
 	for _, m := range q.group.members {
@@ -989,12 +1007,11 @@
 	return true
 }
 
-// probe asks m for its report, within what a cold member may be sent.
+// probe asks m for its report, unless all fronts together might ask too often.
 func (r *Router) probe(m *member) bool {
-	if m.gone || r.cold(m) && !r.coldRoom(m, float64(probeWork)) {
+	if m == nil || m.gone || r.now-m.probedAt < probeEach*Time(r.cfg.Fronts) {
 		return false
 	}
-	r.spend(m, float64(probeWork))
 	m.probedAt, m.probing = r.now, true
 	r.do(Action{Kind: Probe, Member: m.ID})
 	return true
@@ -1007,10 +1024,13 @@
 	}
 	m.probing = false
 	if e.Result != Served || !e.Report.HasPosition {
-		m.probeGap = min(2*m.probeGap, max(r.freshFor*3, seekMost))
+		m.probeGap = min(2*m.probeGap, max(r.freshFor*3, time.Second))
 		return
 	}
 	r.learnReport(m, &e.Report)
+	if age := r.now - e.Report.Position; age < r.freshFor && e.Report.Role == Replica {
+		r.reportAge += Time(blend * float64(age-r.reportAge))
+	}
 	m.probeGap = r.freshFor / 3
 	if r.now-m.pos > r.freshFor { // too old to meet any bound: ask less often
 		m.probeGap = min(r.freshFor*3, r.now-m.pos)
--- a/decide/state.go
+++ b/decide/state.go
@@ -19,8 +19,12 @@
 	lossy               float64   // part of the attempts lately whose answers were lost
 	waits               int       // requests held
 	replicas, primaries alike     // what little is known of one is taken from
-	warm                float64   // work a warm member took from here lately
+	usual               float64   // work of first tries, fading by requests
+	reads, writes       float64   // work asked for, fading as usual does
+	inList              float64   // members in the list
 	freshFor            Time      // tightest bound
+	seekGap             Time      // between looks at a member that may be primary
+	reportAge           Time      // usual age of the positions that probes bring
 
 	wakeAt, sweptAt, logAt, askAt, askGap Time
 }
@@ -57,10 +61,7 @@
 	fails              int     // connections broken or refused since its last answer
 	errors             float64 // part of its answers that are errors
 	erredAt            Time    // last error in it
-	luck               float64 // by which a cold budget is rounded, until luckAt
-	luckAt             Time
 	ghosts             []spent // work called off that may still run, until then
-	done               []spent // work served here lately, sent here while cold
 }
 
 // alike is what members of the same role have in common.
@@ -88,7 +89,6 @@
 	sessions map[string]Time // last commit of each session seen here, while some member may lack it
 	floor    Time            // newest commit dropped from sessions: members not known to have it don't qualify
 	wanted   Time            // last time that something waited for a member
-	seekGap  Time            // between probes of a member while a primary is looked for
 	lost     bool            // logged that the primary is unknown
 }
 
@@ -132,6 +132,17 @@
 	return nil
 }
 
+// leaderless tells that the group may well have another primary than p, the one last known.
+func (g *group) leaderless(p *member) bool { return p == nil || p.suspect || p.State == Draining }
+
+// demand is the work asked for of k's kind.
+func (r *Router) demand(k *class) *float64 {
+	if k.Writes() {
+		return &r.writes
+	}
+	return &r.reads
+}
+
 // leastCost is the cost of the cheapest class.
 func (r *Router) leastCost() float64 {
 	c := r.classes[0].cost
