Refuse at once what missed its chance at an all-cold group, with a short time to come back

A request's chance at a cold member is drawn once, so waiting brought nothing and took the time for another try, which is a new chance.

Change: dispatch refuses it at once, to come back in 50 ms; the budget holds, as demand counts tries. writeTo takes guess in.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -42,10 +42,11 @@
 
 	shedAim, shedSteep = 0.38, 3.0 // above this part of their aim reads stay away by chance, 7 in 8 at twice it
 
-	luckShift   = 1e3 // of a request's luck, for a second chance that owes nothing to the first
-	spareShare  = 0.5 // reads spill to a primary under this part of its limit
-	silentTimes = 5.0 // an answer overdue by so many times what is usual there is silence
-	silentFew   = 2.0 // three times that for one attempt alone, one and a half times for four
+	luckShift  = 1e3 // of a request's luck, for a second chance that owes nothing to the first
+	spareShare = 0.5 // reads spill to a primary under this part of its limit
+
+	silentTimes, silentFew = 5.0, 2.0 // overdue by so many times what is usual is silence, more so with few out
+
 	silentLeast = 60 * time.Millisecond
 	failsMost   = 2 // so many broken connections with no answer between are no chance
 
@@ -57,8 +58,7 @@
 
 	trialFirst, trialMost = 300 * time.Millisecond, time.Second // a suspect gets one trial, at doubling spans
 
-	lateTimes = 1.5 // a member's usual latency times this must be left for a held request,
-	freshTry  = 0.6 // but no more than this part of its aim
+	lateTimes, freshTry = 1.5, 0.6 // times the usual latency, this of the aim at most, must be left for a try
 
 	rescueAt = 0.5 // a read out for this part of its aim may go elsewhere too
 
@@ -83,11 +83,11 @@
 
 	askEach, askEachMost = 50 * time.Millisecond, 200 * time.Millisecond // or for each front
 
-	sessionMost = 4096 // sessions a group whose commits are kept while a member may lack them
-	goneKeep    = time.Minute
+	sessionMost = 4096            // sessions a group whose commits are kept while a member may lack them
 	memberMost  = 1024            // members kept; a longer list is cut
 	askLost     = 8 * time.Second // an ask with no reply for so long is asked again; its own end comes before
-	logEvery    = time.Second
+
+	goneKeep, logEvery = time.Minute, time.Second
 )
 
 // New returns a router for one front, or the first fault of cfg.
@@ -150,19 +150,20 @@
 }
 
 func (r *Router) take(e *Event) {
+	q := r.requests[e.Request]
 	switch e.Kind {
 	case ListFull, ListSaved, ListChange, ListError:
 		r.takeList(e)
 	case Arrive:
 		r.arrive(e)
 	case FirstByte:
-		if q := r.requests[e.Request]; q != nil {
+		if q != nil {
 			q.streaming = true
 		}
 	case Outcome:
 		r.outcome(e)
 	case ClientGone:
-		if q := r.requests[e.Request]; q != nil && !q.ended {
+		if q != nil && !q.ended {
 			r.callOff(q)
 			r.end(q)
 		}
@@ -338,7 +339,7 @@
 	}
 	q.rank = worth / k.cost
 	if q.group == nil || e.Remaining <= sweepEvery {
-		r.giveUp(q)
+		r.giveUp(q, forever)
 		return
 	}
 	if e.AtLeast > 0 {
@@ -382,10 +383,10 @@
 		q.class.Effect == Keyed && q.class.KeyScope == ScopeAll
 }
 
-// giveUp ends a request with its final answer at once.
-func (r *Router) giveUp(q *request) {
+// giveUp ends a request with its final answer at once; refused, it may come back after so long.
+func (r *Router) giveUp(q *request, after Time) {
 	if q.mayRefuse() {
-		r.do(Action{Kind: Refuse, Request: q.id, After: r.cfg.MaxRetryAfter})
+		r.do(Action{Kind: Refuse, Request: q.id, After: min(after, r.cfg.MaxRetryAfter)})
 	} else {
 		r.do(Action{Kind: Fail, Request: q.id})
 	}
@@ -451,12 +452,21 @@
 	for _, q := range waiting {
 		if m := r.choose(q); m != nil {
 			r.send(q, m)
+		} else if r.hopeless(q) {
+			r.giveUp(q, retryPause)
 		} else {
 			r.waits++
 		}
 	}
 }
 
+// hopeless tells that only cold members are left, and q has missed its chance at each: waiting is no use.
+func (r *Router) hopeless(q *request) bool {
+	return !slices.ContainsFunc(q.group.members, func(m *member) bool {
+		return !m.gone && m.State != Draining && (!r.cold(m) || r.coldRoom(m, q))
+	})
+}
+
 // need is the log position that a replica must be known to have reached.
 func (r *Router) need(q *request) Time {
 	switch q.class.Consistency {
@@ -474,10 +484,7 @@
 func (r *Router) choose(q *request) *member {
 	p := q.group.primary()
 	if q.class.Consistency == Write {
-		if p != nil && r.usable(p, q) && r.room(p, q, 1) {
-			return p
-		}
-		return r.guess(q, p)
+		return r.writeTo(q, p)
 	}
 	need, qualified := r.need(q), false
 	var best, ahead, errs *member
@@ -496,11 +503,11 @@
 			}
 			continue
 		}
-		room := r.room(m, q, 1)
-		qualified = qualified || room || !r.cold(m) // a cold one without room is as good as none
-		if !room {
+		if !r.room(m, q, 1) {
+			qualified = qualified || !r.cold(m) // a cold one without room is as good as none
 			continue
 		}
+		qualified = true
 		s := r.score(m, q)
 		if r.errs(m) {
 			if errs == nil || s < leastErrs {
@@ -534,10 +541,12 @@
 	return errs
 }
 
-// guess picks a member that may have become primary, for a write: one that is not turns it away untouched,
-// which is quicker than a probe and costs it less.
-func (r *Router) guess(q *request, p *member) (best *member) {
-	if !q.group.leaderless(p) {
+// writeTo is p, or where it is not sound a member that may have become primary: one that has not turns the
+// write away untouched, which is quicker than a probe and costs it less.
+func (r *Router) writeTo(q *request, p *member) (best *member) {
+	if p != nil && r.usable(p, q) && r.room(p, q, 1) {
+		return p
+	} else if !q.group.leaderless(p) {
 		return nil
 	}
 	if r.cfg.MaxAttempts > 0 && len(q.attempts)+guessSpare >= r.cfg.MaxAttempts {
@@ -553,10 +562,9 @@
 	return best
 }
 
-// spares tells whether m should take a read. Its answers tell of the load of all fronts: where they come
-// late reads stay away by chance, the likelier the later, so that others are in time and writes get through.
-// What is old of m gives way to what members of its role have in common. It could harm where aims are near
-// the cost.
+// spares tells whether m should take a read. Its answers tell of the load of all fronts: where they come late
+// reads stay away by chance, the likelier the later, so that others are in time and writes get through. What
+// is old of m gives way to what members of its role have in common.
 func (r *Router) spares(m *member, q *request) bool {
 	f := m.fade(r.now)
 	return q.luck*math.Pow((f*m.strain+(1-f)*r.alike(m).strain)/shedAim, shedSteep) < 1
@@ -630,8 +638,7 @@
 	if m.limit == 0 {
 		return part == 1 || m.strain < strainAim*part
 	}
-	held := m.held()
-	return held+q.class.cost <= m.limit*part || part == 1 && len(m.open)+len(m.ghosts) == 0
+	return m.held()+q.class.cost <= m.limit*part || part == 1 && len(m.open)+len(m.ghosts) == 0
 }
 
 func (r *Router) send(q *request, m *member) {
@@ -645,7 +652,6 @@
 		m.trialAt = r.now + m.trialGap
 		m.trialGap = min(2*m.trialGap, trialMost)
 	}
-	// stores that can, drop it when it is of no use any more
 	act := Action{Kind: Send, Request: q.id, Member: m.ID, Timeout: max(q.usefulUntil()-r.now, clockSlack)}
 	if q.class.Consistency == Bounded && m != q.group.primary() && r.cfg.Checks == ChecksOff {
 		act.Before = m.pos + q.class.Bound // what is known of m does no longer
@@ -690,7 +696,7 @@
 			q.riskSet, q.riskAt, q.riskZone = true, a.sent, m.Zone
 		}
 		if q.out == 0 && (q.class.Effect == Once || !e.Reused && !r.spendRetry()) {
-			r.giveUp(q)
+			r.giveUp(q, forever)
 		}
 	}
 }
@@ -920,7 +926,7 @@
 			until = q.deadline - sweepEvery
 		}
 		if r.now >= until || r.now >= q.deadline-sweepEvery {
-			r.giveUp(q)
+			r.giveUp(q, forever)
 		} else if q.out == 1 {
 			r.rescue(q)
 		}
@@ -970,13 +976,11 @@
 	if !r.cfg.MayProbe || !g.leaderless(p) || r.now-g.wanted > 2*sweepEvery {
 		return
 	}
-	var best *member // one at a time, as any may be the one
 	for _, m := range g.members {
-		if m != p && r.now-max(m.probedAt, m.roleAt) >= r.seekGap && (best == nil || m.probedAt < best.probedAt) {
-			best = m
+		if m != p && r.now-m.probedAt >= r.seekGap {
+			r.probe(m)
 		}
 	}
-	r.probe(best)
 }
 
 // ask probes a replica for a read that none is known to qualify for, the one that SELF would take, and tells
@@ -1009,7 +1013,7 @@
 
 // probe asks m for its report, unless all fronts together might ask too often.
 func (r *Router) probe(m *member) bool {
-	if m == nil || m.gone || r.now-m.probedAt < probeEach*Time(r.cfg.Fronts) {
+	if m.gone || r.now-m.probedAt < probeEach*Time(r.cfg.Fronts) {
 		return false
 	}
 	m.probedAt, m.probing = r.now, true
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -355,6 +355,34 @@
 	}
 }
 
+// Where all members are cold, a read that missed its chance hears so at once: held, it would only lose the time
+// to ask again, which is a new chance. Nothing is refused where some member is warm.
+func TestMissedChanceIsToldAtOnce(t *testing.T) {
+	for _, warm := range []bool{false, true} {
+		list := members()
+		for i := range list {
+			list[i].Started = time.Hour
+		}
+		if warm {
+			list[0].Started = 0
+		}
+		g := newRig(t, nil, list)
+		sent, refused := 0, 0
+		for id := uint64(1); id <= 60; id++ {
+			as := g.arrive(id, anyRead, time.Second, "")
+			sent += len(pick(as, Send, id))
+			for _, a := range pick(as, Refuse, id) {
+				if refused++; a.After <= 0 || a.After > 100*ms {
+					t.Errorf("told to come back after %v, too late to be of use", a.After)
+				}
+			}
+		}
+		if (refused == 0) != warm || sent == 0 || !warm && sent+refused != 60 {
+			t.Errorf("one warm %v: %d sent and %d refused of 60", warm, sent, refused)
+		}
+	}
+}
+
 func TestNoMemberOrNoTime(t *testing.T) {
 	g := newRig(t, nil, nil)
 	if as := g.arrive(1, once, time.Second, ""); len(pick(as, Refuse, 1)) != 1 {
