--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -84,7 +84,8 @@
 func (f *Facts) Config() (*decide.Config, error) {
 	a, fi := &f.Allowed, &f.FamilyInfo
 	c := &decide.Config{
-		Self: f.Me, Fronts: f.Instances, Zone: f.Zone, Resolution: us(f.ResolutionUs), OverShare: f.OverShareWorth,
+		// Where the number of gateways is missing, or less than this one's own says, there are at least so many.
+		Self: max(f.Me, 0), Fronts: max(f.Instances, f.Me+1, 1), Zone: f.Zone, Resolution: us(f.ResolutionUs), OverShare: f.OverShareWorth,
 		MaxAttempts: a.TryLimit, MayCancel: a.MayCancel, MayDuplicate: a.MayDuplicate,
 		MayProbe: a.Probes, MarksRetry: f.ClientHabits.MarksRetry,
 		AskList: f.Discovery == "ask", RemembersSessions: fi.SessionMarks == "remembered",
