--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -383,6 +383,53 @@
 	}
 }
 
+// While a group has no primary, all fronts together probe each member a hundred times a second at most, after the
+// first round.
+func TestProbesOverTheFleet(t *testing.T) {
+	const span = 3
+	for _, fronts := range []int{1, 5, 80, 200} {
+		probes := map[string]int{}
+		for i := range fronts {
+			g := newRig(t, func(c *Config) { c.Self, c.Fronts = i, fronts }, []Member{{ID: "p"}, {ID: "q"}, {ID: "s"}})
+			for id := uint64(1); id <= 10*span; id++ { // someone always waits
+				as := append(g.arrive(id, fresh, time.Second, ""), g.run(100*ms)...)
+				for _, a := range as {
+					if a.Kind == Probe {
+						probes[a.Member]++
+						g.tell(a.Member, g.now-ms)
+					}
+				}
+			}
+		}
+		for m, n := range probes {
+			if n > 100*span+fronts || n < fronts {
+				t.Errorf("%d fronts probed %s %d times in %d s", fronts, m, n, span)
+			}
+		}
+		if len(probes) != 3 {
+			t.Errorf("%d fronts probed %v, want all members", fronts, probes)
+		}
+	}
+}
+
+// Cold replicas without room for a read are as good as none: the warm primary takes it at once.
+func TestReadsBesideColdReplicas(t *testing.T) {
+	list := members()
+	list[1].Started, list[2].Started = time.Hour, time.Hour
+	g := newRig(t, nil, list)
+	to := map[string]int{}
+	for id := uint64(1); id <= 60; id++ {
+		g.r.members["p"].limit = 1.5 * g.r.classes[anyRead].cost // room for one, but not within the spare half
+		m := g.sentTo(g.arrive(id, anyRead, time.Second, ""), id)
+		to[m]++
+		g.now += 20 * ms
+		g.answer(id, 0, m, Served, RoleUnknown, 0)
+	}
+	if to["p"] == 0 || to["q"]+to["s"] == 0 {
+		t.Errorf("sent %v, want the primary and the replicas within their chance", to)
+	}
+}
+
 func TestNoMemberOrNoTime(t *testing.T) {
 	g := newRig(t, nil, nil)
 	if as := g.arrive(1, once, time.Second, ""); len(pick(as, Refuse, 1)) != 1 {
