--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -430,6 +430,41 @@
 	}
 }
 
+// A start with an empty list, or with one whose members are all gone, asks discovery and nobody else for long, tells
+// clients so in time, and serves as soon as the list has come.
+func TestUselessSavedList(t *testing.T) {
+	for name, saved := range map[string][]Member{"empty": nil, "gone": {{ID: "x"}, {ID: "y"}}} {
+		cfg := testConfig()
+		cfg.AskList, cfg.Fronts = true, 80
+		r, err := New(cfg, 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		g := &rig{t: t, r: r, now: time.Hour}
+		all := g.step(Event{Kind: ListSaved, Members: saved})
+		all = append(all, g.arrive(1, anyRead, time.Second, "")...)
+		for range 400 { // whatever it sends finds nobody
+			for _, a := range pick(all, Send, 1) {
+				all = append(all, g.answer(1, a.Attempt, a.Member, Unreachable, RoleUnknown, 0)...)
+			}
+			all = append(all, g.run(10*ms)...)
+		}
+		watches := 0
+		for _, a := range all {
+			if a.Kind == Watch {
+				watches++
+			}
+		}
+		if watches != 1 || len(pick(all, Refuse, 1)) != 1 || len(all) > 4000 {
+			t.Errorf("%s: %d watches, %d refusals, %d actions", name, watches, len(pick(all, Refuse, 1)), len(all))
+		}
+		g.step(Event{Kind: ListFull, Members: []Member{{ID: "z"}}})
+		if got := g.sentTo(g.arrive(2, anyRead, time.Second, ""), 2); got != "z" {
+			t.Errorf("%s: sent to %s", name, got)
+		}
+	}
+}
+
 func TestNoMemberOrNoTime(t *testing.T) {
 	g := newRig(t, nil, nil)
 	if as := g.arrive(1, once, time.Second, ""); len(pick(as, Refuse, 1)) != 1 {
