--- a/decide/decide.go
+++ b/decide/decide.go
@@ -95,7 +95,7 @@
 	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
-	r := &Router{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x656c646572)), now: never,
+	r := &Router{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x656c646572)), now: never, floor: never,
 		members: map[string]*member{}, groups: map[int64]*group{},
 		requests: map[uint64]*request{}, credit: make([]float64, len(cfg.Tenants)), retries: retryMost,
 		wakeAt: never, logAt: never, sweptAt: never, askGap: max(askFirst, askEach*Time(cfg.Fronts)),
@@ -227,7 +227,7 @@
 		}
 		g := r.groups[l.Group]
 		if g == nil {
-			g = &group{id: l.Group, sessions: map[string]Time{}, floor: never, wanted: never}
+			g = &group{id: l.Group, sessions: map[string]Time{}, floor: r.floor, wanted: never}
 			r.groups[l.Group] = g
 			r.order = append(r.order, g)
 		}
@@ -385,11 +385,11 @@
 
 // giveUp ends a request with its final answer at once; refused, it may come back after so long.
 func (r *Router) giveUp(q *request, after Time) {
+	a := Action{Kind: Fail, Request: q.id}
 	if q.mayRefuse() {
-		r.do(Action{Kind: Refuse, Request: q.id, After: min(after, r.cfg.MaxRetryAfter)})
-	} else {
-		r.do(Action{Kind: Fail, Request: q.id})
+		a.Kind, a.After = Refuse, min(after, r.cfg.MaxRetryAfter)
 	}
+	r.do(a)
 	r.callOff(q)
 	r.end(q)
 }
@@ -428,11 +428,8 @@
 	case Repeatable:
 		return q.out == 0 || r.cfg.MayDuplicate && q.out < 2
 	case Keyed:
-		if q.out > 0 {
-			return false
-		}
 		inScope := q.class.KeyScope != ScopeZone || m.Zone == q.riskZone
-		return !q.riskSet || inScope && r.now-q.riskAt < q.class.KeyWindow-sweepEvery
+		return q.out == 0 && (!q.riskSet || inScope && r.now-q.riskAt < q.class.KeyWindow-sweepEvery)
 	}
 	return q.out == 0 && !q.riskSet
 }
@@ -523,10 +520,9 @@
 		}
 	}
 	switch {
+	case best != nil && (r.cold(best) || r.spares(best, q)):
+		return best
 	case best != nil:
-		if r.cold(best) || r.spares(best, q) {
-			return best
-		}
 		return nil
 	case !qualified && ahead != nil:
 		return ahead // stores check: the most advanced one first
@@ -913,6 +909,14 @@
 		r.dropGone(g)
 		r.gather(g)
 	}
+	r.order = slices.DeleteFunc(r.order, func(g *group) bool {
+		empty := len(g.members)+len(g.sessions) == 0
+		if empty { // members that come under its number must still reach what was committed in it
+			r.floor = max(r.floor, g.floor)
+			delete(r.groups, g.id)
+		}
+		return empty
+	})
 	for _, q := range r.open {
 		if q.ended || q.streaming {
 			continue
@@ -944,7 +948,8 @@
 	late := r.waits == 0 && r.now-a.sent > Time(rescueAt*float64(q.class.Aim))
 	// a trial of a suspect must be left the time to be answered
 	stuck := a.m.suspect && (a.sent <= a.m.suspectAt || r.now-a.sent > r.patience(a.m, a.cost))
-	if a.off || q.class.Effect == Once || r.retries < 1 || !stuck && !late && !r.lost(a) {
+	lost := r.lost(a)
+	if a.off || q.class.Effect == Once || r.retries < 1 || !stuck && !late && !lost {
 		return
 	}
 	if q.class.Effect == Repeatable && r.cfg.MayDuplicate {
@@ -954,16 +959,11 @@
 		}
 		return
 	}
-	lost := r.lost(a)
-	if !r.cfg.MayCancel || !stuck && !lost {
-		return
-	}
-	if q.class.Consistency == Write && !lost {
-		if p := q.group.primary(); p == nil || p == a.m || r.now-a.sent > q.class.KeyWindow {
-			return
-		}
+	p := q.group.primary()
+	held := p == nil || p == a.m || r.now-a.sent > q.class.KeyWindow
+	if r.cfg.MayCancel && (stuck || lost) && (q.class.Consistency != Write || lost || !held) {
+		r.cancel(a)
 	}
-	r.cancel(a)
 }
 
 // gather looks for a primary that something waits for.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -185,6 +185,17 @@
 	if got := g.sentTo(append(g.arrive(2, session, time.Second, "u"), g.run(100*ms)...), 2); got != "p" {
 		t.Errorf("sent to %s, which is not known to have the write", got)
 	}
+	g.answer(2, 0, "p", Served, Primary, g.now)
+	g.step(Event{Kind: ListFull}) // the whole group goes for so long that it is forgotten, and its number comes anew
+	g.run(goneKeep + 100*ms)
+	if n := len(g.r.groups) + len(g.r.order); n != 0 {
+		t.Fatalf("%d entries of a group without members are kept", n)
+	}
+	g.step(Event{Kind: ListFull, Members: []Member{{ID: "p", Primary: true}, {ID: "behind", Zone: "a"}}})
+	g.tell("behind", commit-ms)
+	if got := g.sentTo(append(g.arrive(3, session, time.Second, "u"), g.run(100*ms)...), 3); got != "p" {
+		t.Errorf("sent to %s, which lacks a write of before its group was forgotten", got)
+	}
 }
 
 func TestCarriedToken(t *testing.T) {
--- a/decide/state.go
+++ b/decide/state.go
@@ -22,6 +22,7 @@
 	usual               float64   // work of first tries, fading by requests
 	reads, writes       float64   // work asked for, fading as usual does
 	inList              float64   // members in the list
+	floor               Time      // newest commit in a group that has been forgotten
 	freshFor            Time      // tightest bound
 	seekGap             Time      // between looks at a member that may be primary
 	reportAge           Time      // usual age of the positions that probes bring
@@ -162,3 +163,24 @@
 }
 
 func (r *Router) do(a Action) { r.out = append(r.out, a) }
+
+// Sizes are the lengths of a Router's tables.
+type Sizes struct {
+	Members, Groups int
+	Requests        int // open, or with an attempt out
+	Sessions        int // whose commits are kept, the most of any group
+	Ghosts          int // work called off that may still run, the most at any member
+	Attempts        int // out, at all members
+}
+
+// Sizes tells how long the tables are, for those who watch that nothing grows. Like Step it is the owner's to call.
+func (r *Router) Sizes() Sizes {
+	s := Sizes{Members: len(r.members), Groups: max(len(r.groups), len(r.order)), Requests: max(len(r.requests), len(r.open))}
+	for _, g := range r.order {
+		s.Sessions = max(s.Sessions, len(g.sessions))
+		for _, m := range g.members {
+			s.Ghosts, s.Attempts = max(s.Ghosts, len(m.ghosts)), s.Attempts+len(m.open)
+		}
+	}
+	return s
+}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -59,6 +59,13 @@
 // NewClaims returns claims of nothing.
 func NewClaims() *Claims { return &Claims{open: map[string]bool{}} }
 
+// Len is how many ids are in work.
+func (c *Claims) Len() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
 // Claim notes that an id is in work, and tells whether it was free.
 func (c *Claims) Claim(id string) bool {
 	c.mu.Lock()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -228,6 +228,22 @@
 	})
 }
 
+// Sizes are the lengths of the core's tables.
+type Sizes struct {
+	Requests int // open, or with an attempt out
+	Timers   int // those of ended requests stay until they are due
+	Members  int // whose positions or states are kept for records
+}
+
+// Sizes tells how long the tables are. It is the owner's to call.
+func (c *Core) Sizes() Sizes {
+	s := Sizes{Requests: len(c.requests), Timers: len(c.timers)}
+	if c.watch != nil {
+		s.Members = max(len(c.watch.told), c.watch.roster.Len())
+	}
+	return s
+}
+
 // After runs f on the owner's goroutine, which must be the caller's, at t.
 func (c *Core) After(t Time, f func()) { heap.Push(&c.timers, timer{t, f}) }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,7 @@
 	Version string
 	Log     *slog.Logger
 	Records *record.Handler // that Log goes through; takes the sink of records
+	Dial    pgmember.Dialer // to members and discovery; nil: TCP
 }
 
 // Serve runs the gateway until SIGTERM or SIGINT, then winds it down. SIGHUP has
@@ -96,10 +97,34 @@
 
 // running is a gateway at work.
 type running struct {
-	o     Options
-	c     *Config
-	dir   *discovery.Client
-	parts []part
+	o      Options
+	c      *Config
+	router *decide.Router
+	owner  *core.Core
+	pool   *pgmember.Pool
+	dir    *discovery.Client
+	front  *pgfront.Server
+	claims *call.Claims
+	parts  []part
+}
+
+// Sizes are the lengths of the tables that peers and time could grow; docs/design/fleet.md has their bounds.
+type Sizes struct {
+	Decide decide.Sizes
+	Core   core.Sizes
+	Pool   pgmember.Sizes
+	Claims int // ids in work
+}
+
+// sizes asks the owner for them; it must be at work.
+func (g *running) sizes() (s Sizes) {
+	done := make(chan struct{})
+	g.owner.Post(func() {
+		s = Sizes{Decide: g.router.Sizes(), Core: g.owner.Sizes(), Pool: g.pool.Sizes(), Claims: g.claims.Len()}
+		close(done)
+	})
+	<-done
+	return s
 }
 
 // reload takes from the configuration what may change while the gateway runs: all of it, or nothing where any
@@ -133,17 +158,30 @@
 
 // Run serves listener until term ends.
 func Run(term context.Context, hup <-chan os.Signal, c *Config, listener net.Listener, o Options) error {
+	g, err := build(c, o)
+	if err != nil {
+		return err
+	}
+	return g.run(term, hup, listener)
+}
+
+// build puts a gateway together. Its parts are started, the gateway proper is not.
+func build(c *Config, o Options) (*running, error) {
 	log := o.Log
 	edge := new(Edge)
 	if o.Edge != "" {
 		var err error
 		if edge, err = LoadEdge(o.Edge, c); err != nil {
-			return err
+			return nil, err
 		}
 	}
 	router, err := decide.New(*c.Decide, c.seed)
 	if err != nil {
-		return err
+		return nil, err
+	}
+	dial := pgmember.Dial
+	if o.Dial != nil {
+		dial = o.Dial
 	}
 	share := c.Budget(edge)
 	f := c.facts
@@ -154,37 +192,41 @@
 		Idle:    span(f.Allowed.IdleCloseUs, idleUsual),
 		Connect: span(f.Allowed.ConnectTimeoutUs, connectUsual),
 		Grace:   span(f.Rules.StopSendingWithinUs, graceUsual), DrainOnly: f.Rules.DrainBindsAlone,
-		Names: f.Feedback.Names}, bufs, pgmember.Dial, log)
-	dir := discovery.New(c.Discovery, c.version, c.Decide.Fronts, owner.List, pgmember.Dial, log)
+		Names: f.Feedback.Names}, bufs, dial, log)
+	dir := discovery.New(c.Discovery, c.version, c.Decide.Fronts, owner.List, dial, log)
 	owner.Connect(pool, dir)
-	g := &running{o: o, c: c, dir: dir}
+	g := &running{o: o, c: c, router: router, owner: owner, pool: pool, dir: dir, claims: call.NewClaims()}
 	if edge.Syslog != nil {
 		p, err := startSyslog(edge.Syslog, owner, c.Decide.ColdTime, o)
 		if err != nil {
-			return fmt.Errorf("syslog: %w", err)
+			return nil, fmt.Errorf("syslog: %w", err)
 		}
 		g.parts = append(g.parts, p)
 	}
-	claims := call.NewClaims()
 	if edge.REST != nil {
-		p, err := startREST(edge.REST, owner, claims, log)
+		p, err := startREST(edge.REST, owner, g.claims, log)
 		if err != nil {
 			g.stop()
-			return fmt.Errorf("rest: %w", err)
+			return nil, fmt.Errorf("rest: %w", err)
 		}
 		g.parts = append(g.parts, p)
 	}
 	owner.List(decide.ListSaved, c.Known)
-	front := pgfront.New(owner, pgfront.Config{Classes: c.Decide.Classes, Tenants: c.Decide.Tenants,
+	g.front = pgfront.New(owner, pgfront.Config{Classes: c.Decide.Classes, Tenants: c.Decide.Tenants,
 		Max: share.Clients, Spare: int(sparePart * float64(share.Sockets)),
 		ComeBack:  c.Decide.MaxRetryAfter,
 		Keep:      int(bufferReserve * float64(share.Buffers)),
-		StartWait: startWait, WriteWait: writeWait, RefuseWait: refuseWait, IdleMost: idleMost, IdleKeep: int(idlePart * float64(share.Sockets)), Claims: claims}, bufs, log)
+		StartWait: startWait, WriteWait: writeWait, RefuseWait: refuseWait, IdleMost: idleMost, IdleKeep: int(idlePart * float64(share.Sockets)), Claims: g.claims}, bufs, log)
+	return g, nil
+}
 
+// run serves listener until term ends, then winds down.
+func (g *running) run(term context.Context, hup <-chan os.Signal, listener net.Listener) error {
+	c, log := g.c, g.o.Log
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go owner.Run(ctx)
-	go dir.Run(ctx)
+	go g.owner.Run(ctx)
+	go g.dir.Run(ctx)
 	go func() {
 		for {
 			select {
@@ -196,8 +238,8 @@
 		}
 	}()
 	failed := make(chan error, 1)
-	go func() { failed <- front.Serve(listener) }()
-	log.Info("serving", "name", c.Name, "listen", listener.Addr().String(), "members", len(c.Known), "version", o.Version)
+	go func() { failed <- g.front.Serve(listener) }()
+	log.Info("serving", "name", c.Name, "listen", listener.Addr().String(), "members", len(c.Known), "version", g.o.Version)
 
 	select {
 	case err := <-failed:
@@ -209,7 +251,7 @@
 		g.drain(lastCall(c.Decide.Classes))
 		close(drained)
 	}()
-	err = windDown(c, front, listener, log)
+	err := windDown(c, g.front, listener, log)
 	<-drained
 	g.stop()
 	return err
--- a/internal/pgmember/pool.go
+++ b/internal/pgmember/pool.go
@@ -74,6 +74,12 @@
 	return p
 }
 
+// Sizes are the lengths of the pool's tables.
+type Sizes struct{ Members, Connections, Jobs int }
+
+// Sizes tells how long the tables are. It is the owner's to call.
+func (p *Pool) Sizes() Sizes { return Sizes{len(p.members), p.open, len(p.jobs)} }
+
 // List takes addresses and who is wanted.
 func (p *Pool) List(kind decide.EventKind, list []core.Listed) {
 	named := map[string]bool{}
--- a/internal/record/roster.go
+++ b/internal/record/roster.go
@@ -22,6 +22,9 @@
 	return &Roster{cold: cold, known: map[string]decide.Member{}}
 }
 
+// Len is how many members are followed.
+func (r *Roster) Len() int { return len(r.known) }
+
 // Take takes a list, whole or of changes only, and calls tell for each change in the list's order; members
 // that a whole list no longer names come last, in no order.
 func (r *Roster) Take(now time.Duration, whole bool, list []decide.Member, tell func(m decide.Member, c Change)) {
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -10,6 +10,8 @@
 	"sort"
 	"sync"
 	"time"
+
+	"reachwind/internal/standin/pipenet"
 )
 
 // Config is what a cluster is made of.
@@ -22,6 +24,7 @@
 	Host     string        // loopback address, 127.0.0.1 if empty
 	Ports    int           // the first port, 0 = any
 	Elect    time.Duration // after which a replica takes over from a primary that is down or hangs; 0 = never
+	Net      *pipenet.Net  // a network in memory; nil: TCP
 }
 
 // Cluster is a running stand-in.
@@ -101,7 +104,7 @@
 		return net.JoinHostPort(conf.Host, fmt.Sprint(conf.Ports+i))
 	}
 	var err error
-	if c.discovery, err = net.Listen("tcp", port(0)); err != nil {
+	if c.discovery, err = c.listen(port(0)); err != nil {
 		return nil, err
 	}
 	n := 0
@@ -110,10 +113,7 @@
 		c.groups = append(c.groups, gr)
 		for r := range conf.Replicas + 1 {
 			n++
-			m := &Member{ID: fmt.Sprintf("m-%d-%d", g, r), Group: gr.id, Addr: port(n), c: c, g: gr, primary: r == 0, lag: conf.Lag,
-				conns: map[net.Conn]bool{}, slots: make(chan struct{}, conf.Slots)}
-			c.members[m.ID] = m
-			if err := m.listen(); err != nil {
+			if _, err := c.add(gr, fmt.Sprintf("m-%d-%d", g, r), port(n), r == 0); err != nil {
 				c.Close()
 				return nil, err
 			}
@@ -128,6 +128,56 @@
 	return c, nil
 }
 
+func (c *Cluster) listen(addr string) (net.Listener, error) {
+	if c.conf.Net != nil {
+		return c.conf.Net.Listen(addr)
+	}
+	return net.Listen("tcp", addr)
+}
+
+// add makes a member and has it listen.
+func (c *Cluster) add(g *group, id, addr string, primary bool) (*Member, error) {
+	m := &Member{ID: id, Group: g.id, Addr: addr, c: c, g: g, primary: primary, lag: c.conf.Lag,
+		conns: map[net.Conn]bool{}, slots: make(chan struct{}, c.conf.Slots)}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.members[id] = m
+	return m, m.listenLocked()
+}
+
+// Grow adds a replica that has just started to a group, or a primary to a new group where none has this number.
+func (c *Cluster) Grow(id int64, name string) (*Member, error) {
+	c.mu.Lock()
+	var g *group
+	for _, o := range c.groups {
+		if o.id == id {
+			g = o
+		}
+	}
+	fresh := g == nil
+	if fresh {
+		g = &group{id: id, rows: map[string][]version{}, keys: map[string]keyed{}, runs: map[string]int{}}
+		c.groups = append(c.groups, g)
+	}
+	c.mu.Unlock()
+	m, err := c.add(g, name, net.JoinHostPort(c.conf.Host, "0"), fresh)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m.started = time.Now().UnixMilli()
+	c.change()
+	return m, err
+}
+
+// Leave ends a member for good: the list names it no more.
+func (m *Member) Leave() {
+	m.c.mu.Lock()
+	defer m.c.mu.Unlock()
+	m.stop()
+	m.gone = true
+	delete(m.c.members, m.ID)
+	m.c.change()
+}
+
 // Discovery is the address of the list.
 func (c *Cluster) Discovery() string { return c.discovery.Addr().String() }
 
--- a/internal/standin/cluster/serve.go
+++ b/internal/standin/cluster/serve.go
@@ -18,14 +18,9 @@
 	"reachwind/internal/pgwire"
 )
 
-func (m *Member) listen() error {
-	m.c.mu.Lock()
-	defer m.c.mu.Unlock()
-	return m.listenLocked()
-}
-
+// listenLocked has a member serve. The caller holds the lock.
 func (m *Member) listenLocked() error {
-	l, err := net.Listen("tcp", m.Addr)
+	l, err := m.c.listen(m.Addr)
 	if err != nil {
 		return err
 	}
--- a/internal/standin/pgclient/client.go
+++ b/internal/standin/pgclient/client.go
@@ -63,6 +63,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return Over(nc, wait)
+}
+
+// Over passes the startup over a connection that it takes.
+func Over(nc net.Conn, wait time.Duration) (*Conn, error) {
 	c := &Conn{nc: nc, r: bufio.NewReader(nc)}
 	_ = nc.SetDeadline(time.Now().Add(wait))
 	if _, err := nc.Write(pgwire.AppendStartup(nil, "app", "shop")); err != nil {
