--- a/cmd/reachwind/main.go
+++ b/cmd/reachwind/main.go
@@ -9,6 +9,7 @@
 	"io"
 	"log/slog"
 	"os"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -23,7 +24,12 @@
 func main() {
 	if err := command(os.Args[1:], os.Stdout, os.Stderr); err != nil {
 		fmt.Fprintln(os.Stderr, "reachwind:", err)
-		os.Exit(1)
+		code := 1
+		var e exitError
+		if errors.As(err, &e) {
+			code = e.code
+		}
+		os.Exit(code)
 	}
 }
 
@@ -48,6 +54,7 @@
 	flags.StringVarP(&path, "config", "c", os.Getenv("NODE_CONFIG"), "configuration `file` (NODE_CONFIG)")
 	flags.StringVarP(&edge, "edge", "e", os.Getenv("REACHWIND_EDGE"), "product configuration `file` (REACHWIND_EDGE)")
 	flags.StringVar(&level, "log-level", "info", "least `level` logged: debug, info, warn or error")
+	var offset time.Duration
 	var least slog.Level
 	root.PersistentPreRunE = func(*cobra.Command, []string) error {
 		if err := least.UnmarshalText([]byte(level)); err != nil {
@@ -55,7 +62,7 @@
 		}
 		return nil
 	}
-	root.AddCommand(&cobra.Command{Use: "serve", Short: "run the gateway until SIGTERM or SIGINT", Args: cobra.NoArgs,
+	serve := &cobra.Command{Use: "serve", Short: "run the gateway until SIGTERM or SIGINT", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			conf, err := gateway.Load(path)
 			if err != nil {
@@ -64,13 +71,17 @@
 			logs := newLogWriter(c.ErrOrStderr())
 			defer logs.flush()
 			records := record.NewHandler(slog.NewTextHandler(logs, &slog.HandlerOptions{Level: least}))
-			return gateway.Serve(conf, gateway.Options{Path: path, Edge: edge, Version: version, Log: slog.New(records), Records: records})
-		}})
+			return gateway.Serve(conf, gateway.Options{Path: path, Edge: edge, Version: version, Log: slog.New(records), Records: records,
+				Wall: func() time.Time { return time.Now().Add(offset) }})
+		}}
+	serve.Flags().DurationVar(&offset, "clock-offset", 0, "set the fleet's wall clock off by this `span`; for laboratories")
+	_ = serve.Flags().MarkHidden("clock-offset")
+	root.AddCommand(serve)
 	root.AddCommand(&cobra.Command{Use: "check", Short: "read the configuration, report its faults, and exit", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return check(c.OutOrStdout(), path, edge) }})
 	root.AddCommand(&cobra.Command{Use: "version", Short: "print the version", Args: cobra.NoArgs,
 		Run: func(c *cobra.Command, _ []string) { _, _ = fmt.Fprintln(c.OutOrStdout(), "reachwind", version) }})
-	root.AddCommand(spoolCommand())
+	root.AddCommand(spoolCommand(), fleetCommand())
 	return root
 }
 
@@ -98,5 +109,8 @@
 		}
 		_, _ = fmt.Fprintln(out)
 	}
+	if f := edge.Fleet; f != nil {
+		_, _ = fmt.Fprintf(out, "fleet: %s, %d seeds, %s a second, %d routes\n", f.Listen, len(f.Seeds), edgeconf.FormatSize(int64(f.Bytes)), len(f.Routes))
+	}
 	return nil
 }
--- a/decide/api.go
+++ b/decide/api.go
@@ -211,6 +211,16 @@
 	ClientGone                  // the client left or its time is up; no answer is owed
 	Probed                      // a probe ended
 	Timer                       // a Wake came due
+	Told                        // other gateways say of Member that it is silent; Result Served: that it answers; Role Primary: that it said so
+	Parts                       // what may be used of the shared budgets changed
+)
+
+// The budgets that fronts which know each other share, as places in Parts.
+const (
+	ColdPart = iota
+	ProbePart
+	AskPart
+	CustomerPart
 )
 
 // Result tells how an attempt or a probe ended.
@@ -230,6 +240,11 @@
 	Rejected           // turned away for what it is: never ran, and no member would take it
 )
 
+// Answered tells that the member answered, whatever it said.
+func (r Result) Answered() bool {
+	return r == Served || r == Errored || r == Full || r == NotHere || r == Rejected
+}
+
 // Event is one thing that happened. Kind tells which fields count.
 type Event struct {
 	Kind    EventKind
@@ -258,6 +273,8 @@
 	Position Time // Outcome: log position, or the commit time of a served write
 
 	Report Report // Outcome, Probed
+
+	Parts [4]float64 // Parts: of each budget, 1 = this front's own part; above 0
 }
 
 // Report is what a member last said of itself; it may be some time old.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -72,6 +72,8 @@
 	guessSpare = 2                     // attempts left for when it is known
 	renewBy    = 0.25                  // a replica unheard of for the tightest bound is liked so much better
 
+	toldFor = 2 * time.Second // a look that others' words led to must have ended
+
 	askWait, askTimes = 30 * time.Millisecond, 2 // a read waits so long for a probe of its own, at most so often
 
 	demandFade = 0.995 // a request, of the work asked for: over about two hundred
@@ -96,7 +98,7 @@
 		return nil, err
 	}
 	r := &Router{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x656c646572)), now: never, floor: never,
-		members: map[string]*member{}, groups: map[int64]*group{},
+		members: map[string]*member{}, groups: map[int64]*group{}, parts: [4]float64{1, 1, 1, 1},
 		requests: map[uint64]*request{}, credit: make([]float64, len(cfg.Tenants)), retries: retryMost,
 		wakeAt: never, logAt: never, sweptAt: never, askGap: max(askFirst, askEach*Time(cfg.Fronts)),
 		seekGap: max(seekEvery, seekEach*Time(cfg.Fronts))}
@@ -169,6 +171,26 @@
 		}
 	case Probed:
 		r.probed(e)
+	case Told:
+		r.told(e)
+	case Parts:
+		r.parts = e.Parts
+	}
+}
+
+// told takes what other gateways say of a member. Nothing goes out of use for it: it brings a look forward,
+// whose own outcome counts, or a trial; and a write that looks for its primary begins there.
+func (r *Router) told(e *Event) {
+	m := r.members[e.Member]
+	switch {
+	case m == nil:
+	case e.Role == Primary && m.role != Primary:
+		m.roleAt = never
+	case e.Result == Served:
+		m.trialAt = min(m.trialAt, r.now)
+	default:
+		m.toldAt = r.now
+		r.probe(m)
 	}
 }
 
@@ -181,9 +203,10 @@
 			r.askAt = r.now + Time(r.rng.Float64()*float64(askSpread)*float64(r.cfg.Fronts))
 		case ListError: // jittered backoff; the old list holds
 			r.askAt = r.now + Time((0.5+r.rng.Float64())*float64(r.askGap))
-			r.askGap = min(2*r.askGap, max(askMost, askEachMost*Time(r.cfg.Fronts)))
+			r.askGap = min(2*r.askGap, max(askMost, r.each(askEachMost, AskPart)))
+			r.spend(AskPart, false)
 		default:
-			r.askAt, r.askGap = forever, max(askFirst, askEach*Time(r.cfg.Fronts))
+			r.askAt, r.askGap = forever, max(askFirst, r.each(askEach, AskPart))
 		}
 	}
 	named := make(map[string]bool, len(e.Members))
@@ -203,8 +226,7 @@
 	}
 }
 
-// dropGone forgets members that have left the list, as their like come under ever new ids. One that restarts
-// comes back under its own, so they are kept a while.
+// dropGone forgets members that left the list, after a while: one that restarts comes back under its own id.
 func (r *Router) dropGone(g *group) {
 	g.members = slices.DeleteFunc(g.members, func(m *member) bool {
 		if !m.gone && (m.State != Removed || !m.suspect) || len(m.open) > 0 {
@@ -231,8 +253,9 @@
 			r.groups[l.Group] = g
 			r.order = append(r.order, g)
 		}
-		m = &member{Member: l, group: g, left: r.now, pos: never, roleAt: never, heard: never, probedAt: never,
-			stretch: 1, quick: 1, overdue: forever, cutAt: never, probeGap: r.freshFor / 3, trialGap: trialFirst}
+		m = &member{Member: l, group: g, left: r.now, pos: never, roleAt: never, heard: never, toldAt: never,
+			probedAt: never, stretch: 1, quick: 1, overdue: forever, cutAt: never, probeGap: r.freshFor / 3,
+			trialGap: trialFirst}
 		g.members = append(g.members, m)
 		r.members[l.ID] = m
 	} else if l.Started > m.Started { // it started anew: cold, no primary, and as yet unproven
@@ -253,8 +276,7 @@
 
 // Positions and roles.
 
-// learnPosition keeps the newest position told. One that is ahead of the clock is impossible and not
-// believed; one that goes back is old news.
+// learnPosition keeps the newest position told: one ahead of the clock is impossible, one behind is old news.
 func (r *Router) learnPosition(m *member, p Time) {
 	if p >= m.pos && p <= r.now+clockSlack {
 		m.pos, m.lag = p, r.now-p
@@ -271,12 +293,11 @@
 		return
 	}
 	for _, o := range m.group.members {
-		if o == m || o.role != Primary {
-			continue
-		}
-		if o.roleAt > at {
+		switch {
+		case o == m || o.role != Primary:
+		case o.roleAt > at:
 			m.role = Replica
-		} else {
+		default:
 			o.role, o.roleAt = Replica, at
 		}
 	}
@@ -294,8 +315,7 @@
 	}
 }
 
-// forgetCommits drops sessions' commits that every member is known to have for a common floor, which a member
-// that joins later must reach too.
+// forgetCommits drops commits that every member has for a common floor, which later members must reach too.
 func (r *Router) forgetCommits(g *group) {
 	if len(g.sessions) == 0 {
 		return
@@ -327,12 +347,10 @@
 	r.open = append(r.open, q)
 	r.retries = min(retryMost, r.retries+retryEarn)
 	r.usual, r.reads, r.writes = r.usual*demandFade, r.reads*demandFade, r.writes*demandFade
-	if !e.IsRetry {
-		r.usual += k.cost
-	}
 	*r.demand(k) += k.cost
 	worth := k.Worth * r.share(e.Tenant)
 	if !e.IsRetry {
+		r.usual += k.cost
 		k.longest = max(k.longest, e.Remaining)
 	} else if e.Remaining < k.longest-clockSlack { // its wait is what the deadline leaves: so long ago it began
 		q.aim -= max(0, k.Deadline-e.Remaining)
@@ -354,16 +372,15 @@
 	}
 }
 
-// share books a request on its tenant and returns what part of its worth is left. Each front sees only its
-// own part of a tenant's traffic, so shares are compared within that part.
+// share books a request on its tenant and returns what part of its worth is left, in this front's traffic.
 func (r *Router) share(tenant int) float64 {
 	if tenant < 0 || tenant >= len(r.credit) {
 		return 1
 	}
 	for i := range r.credit {
-		r.credit[i] = min(retryMost, r.credit[i]+r.cfg.Tenants[i].Share)
+		r.credit[i] = min(retryMost, r.credit[i]+r.cfg.Tenants[i].Share*r.parts[CustomerPart])
 	}
-	if r.credit[tenant] < 1 {
+	if !r.spend(CustomerPart, r.credit[tenant] >= 1) {
 		return max(r.cfg.OverShare, 0.01)
 	}
 	r.credit[tenant]--
@@ -394,14 +411,12 @@
 	r.end(q)
 }
 
-// callOff cancels what a finished request still has out, so that members may drop it. Writes that are
-// already out are left to run.
+// callOff cancels what a finished request still has out, so that members may drop it; writes are left to run.
 func (r *Router) callOff(q *request) {
-	if !r.cfg.MayCancel || q.class.Consistency == Write {
-		return
-	}
 	for _, a := range q.attempts {
-		r.cancel(a)
+		if r.cfg.MayCancel && q.class.Consistency != Write {
+			r.cancel(a)
+		}
 	}
 }
 
@@ -438,12 +453,9 @@
 
 // dispatch places what waits, highest worth for its work first.
 func (r *Router) dispatch() {
-	var waiting []*request
-	for _, q := range r.open {
-		if q.out == 0 && !q.ended && !q.streaming {
-			waiting = append(waiting, q)
-		}
-	}
+	waiting := slices.DeleteFunc(slices.Clone(r.open), func(q *request) bool {
+		return q.out > 0 || q.ended || q.streaming
+	})
 	slices.SortStableFunc(waiting, func(a, b *request) int { return cmp.Compare(b.rank, a.rank) })
 	r.waits = 0
 	for _, q := range waiting {
@@ -486,9 +498,9 @@
 	need, qualified := r.need(q), false
 	var best, ahead, errs *member
 	var least, leastErrs float64
-	// Exception: a long read that any replica may answer goes to the one furthest behind. While it runs a
-	// replica may apply nothing; spread by SELF, long reads hold back every replica, and tight reads all fall
-	// on the primary. All fronts see the same one behind. It could harm where long reads are most of the work.
+	// Exception: a long read that any replica may answer goes to the one furthest behind, as it may apply
+	// nothing meanwhile; spread by SELF, long reads hold back all and tight ones fall on the primary. All
+	// fronts see the same one behind. It could harm where long reads are most of the work.
 	long := q.class.Consistency == AnyData && q.class.cost > longTimes*r.leastCost()
 	for _, m := range q.group.members {
 		if m == p || !r.usable(m, q) {
@@ -558,9 +570,8 @@
 	return best
 }
 
-// spares tells whether m should take a read. Its answers tell of the load of all fronts: where they come late
-// reads stay away by chance, the likelier the later, so that others are in time and writes get through. What
-// is old of m gives way to what members of its role have in common.
+// spares tells whether m should take a read: where its answers come late reads stay away by chance, so that
+// others are in time and writes get through. What is old of m gives way to what its role has in common.
 func (r *Router) spares(m *member, q *request) bool {
 	f := m.fade(r.now)
 	return q.luck*math.Pow((f*m.strain+(1-f)*r.alike(m).strain)/shedAim, shedSteep) < 1
@@ -587,8 +598,7 @@
 	m.erredAt = r.now
 }
 
-// errs tells that m mostly errs. Errors come fast: such a member has little outstanding, and SELF would send
-// it all there is.
+// errs tells that m mostly errs. Errors come fast: SELF would send such a member all there is.
 func (r *Router) errs(m *member) bool {
 	return m.errors*min(1, float64(stretchFade)/float64(max(1, r.now-m.erredAt))) > errsMost
 }
@@ -604,14 +614,10 @@
 }
 
 func (r *Router) usable(m *member, q *request) bool {
-	if m.gone || m.State == Draining || q.away[m] > r.now || !r.mayTry(q, m) || r.tooLate(q, m) {
+	if m.gone || m.State == Draining || q.away[m] > r.now || !r.mayTry(q, m) || r.tooLate(q, m) ||
+		slices.ContainsFunc(q.attempts, func(a *attempt) bool { return !a.done && a.m == m }) {
 		return false
 	}
-	for _, a := range q.attempts {
-		if !a.done && a.m == m {
-			return false
-		}
-	}
 	if m.suspect { // a trial needs the time to be answered
 		left := float64(q.usefulUntil() - r.now)
 		return r.now >= m.trialAt && len(m.open) == 0 && left > freshTry*float64(q.class.Aim)
@@ -783,8 +789,7 @@
 }
 
 // late tells that the answer to a should long have come: the member has answered what was sent there later,
-// or many are late these days. Answers that came tell what is usual: overload makes them all late. Later
-// attempts of a request have more patience, as it may be the work that is long.
+// or many are late these days. Later attempts have more patience, as it may be the work that is long.
 func (r *Router) late(a *attempt) bool {
 	usual := a.cost * a.m.quick * float64(a.no+1)
 	return (a.passed >= lostPassed || r.lossy > lossyLeast) && float64(r.now-a.sent) > lostTimes*usual
@@ -830,8 +835,7 @@
 	m.cutAt = r.now + Time(r.leastCost()*m.stretch)
 }
 
-// suspect takes a member out until a trial answers. Silence takes out at most half of a group: were it the
-// network or everyone, the rest would fall too.
+// suspect takes a member out until a trial answers; for silence, maybe the network's, at most half a group.
 func (r *Router) suspect(m *member, sure bool) {
 	if m.suspect {
 		m.overdue = forever
@@ -852,8 +856,7 @@
 	r.note(Suspected, m.group, m.ID)
 }
 
-// await notes by when m must be heard of for a, so that silence shows also when attempts are called off
-// before it could.
+// await notes by when m must be heard of for a, so that silence shows also when a is called off before.
 func (r *Router) await(m *member, a *attempt) {
 	m.overdue = min(m.overdue, r.now+r.patience(m, a.cost))
 }
@@ -870,11 +873,9 @@
 	return m.Started != 0 && r.now < m.Started+r.cfg.ColdTime
 }
 
-// coldRoom keeps to a cold member's budget. All fronts together ask of a member on average what is usual, and
-// of a cold one each may ask the cold part of it. In a large fleet this is less than one request of a front,
-// which hears too seldom from any one to spend a budget of its own: so each request has its chance by itself,
-// and what all fronts send adds up, whichever of them have something to send. The cold members of a group
-// share the chance out, as two that are drawn apart would often both miss.
+// coldRoom keeps to a cold member's budget: of one each front may ask the cold part of what is usual. In a
+// large fleet this is less than one of its requests, so each has its chance by itself, and what all send adds
+// up. The cold members of a group share the chance out, as two drawn apart would often both miss.
 func (r *Router) coldRoom(m *member, q *request) bool {
 	luck := q.luck * luckShift
 	for _, o := range m.group.members {
@@ -882,7 +883,7 @@
 		budget := r.usual / max(1, r.inList) * part * r.cfg.FallMultiple * coldShare
 		chance := budget / max(1, *r.demand(q.class)) * float64(len(r.order))
 		if o == m {
-			return luck-math.Floor(luck) < chance
+			return r.spend(ColdPart, luck-math.Floor(luck) < chance*r.parts[ColdPart])
 		}
 		if r.cold(o) && !o.gone && !q.class.Writes() {
 			luck -= chance
@@ -941,8 +942,7 @@
 	}
 }
 
-// rescue sends an attempt that a member sits on elsewhere: as a second copy where that is allowed, else
-// called off first and sent again by its outcome.
+// rescue sends what a member sits on elsewhere: as a second copy if that is allowed, else called off first.
 func (r *Router) rescue(q *request) {
 	a := q.attempts[slices.IndexFunc(q.attempts, func(a *attempt) bool { return !a.done })]
 	late := r.waits == 0 && r.now-a.sent > Time(rescueAt*float64(q.class.Aim))
@@ -984,8 +984,7 @@
 }
 
 // ask probes a replica for a read that none is known to qualify for, the one that SELF would take, and tells
-// whether to wait for it. Polling would cost every front probes of every member. A silent probe costs a read
-// askWait, and probes that brought nothing of use come at growing gaps.
+// whether to wait for it: askWait at most, and probes that brought nothing of use come at growing gaps.
 func (r *Router) ask(q *request, p *member, need Time) bool {
 	if r.now-need < r.reportAge { // no report can tell of it yet
 		return false
@@ -1013,7 +1012,7 @@
 
 // probe asks m for its report, unless all fronts together might ask too often.
 func (r *Router) probe(m *member) bool {
-	if m.gone || r.now-m.probedAt < probeEach*Time(r.cfg.Fronts) {
+	if m.gone || !r.spend(ProbePart, r.now-m.probedAt >= r.each(probeEach, ProbePart)) {
 		return false
 	}
 	m.probedAt, m.probing = r.now, true
@@ -1028,6 +1027,9 @@
 	}
 	m.probing = false
 	if e.Result != Served || !e.Report.HasPosition {
+		if r.now-m.toldAt < toldFor && m.heard < m.probedAt && (e.Result == TimedOut || e.Result == Unreachable) {
+			r.suspect(m, e.Result == Unreachable) // it was looked at, and is silent here too
+		}
 		m.probeGap = min(2*m.probeGap, max(r.freshFor*3, time.Second))
 		return
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -14,18 +14,20 @@
 	requests            map[uint64]*request
 	open                []*request // owed a final answer, by arrival
 	classes             []class
-	credit              []float64 // of each tenant, in requests inside its share
-	retries             float64   // retry budget
-	lossy               float64   // part of the attempts lately whose answers were lost
-	waits               int       // requests held
-	replicas, primaries alike     // what little is known of one is taken from
-	usual               float64   // work of first tries, fading by requests
-	reads, writes       float64   // work asked for, fading as usual does
-	inList              float64   // members in the list
-	floor               Time      // newest commit in a group that has been forgotten
-	freshFor            Time      // tightest bound
-	seekGap             Time      // between looks at a member that may be primary
-	reportAge           Time      // usual age of the positions that probes bring
+	credit              []float64  // of each tenant, in requests inside its share
+	retries             float64    // retry budget
+	lossy               float64    // part of the attempts lately whose answers were lost
+	waits               int        // requests held
+	replicas, primaries alike      // what little is known of one is taken from
+	usual               float64    // work of first tries, fading by requests
+	reads, writes       float64    // work asked for, fading as usual does
+	inList              float64    // members in the list
+	floor               Time       // newest commit in a group that has been forgotten
+	parts               [4]float64 // what may be used of each shared budget, 1 = this front's own part
+	granted, denied     [4]float64 // of what was asked of them, see Wanted
+	freshFor            Time       // tightest bound
+	seekGap             Time       // between looks at a member that may be primary
+	reportAge           Time       // usual age of the positions that probes bring
 
 	wakeAt, sweptAt, logAt, askAt, askGap Time
 }
@@ -57,6 +59,7 @@
 	overdue            Time    // silent if not heard by then
 	trialAt, trialGap  Time
 	suspectAt          Time // since when, while suspect
+	toldAt             Time // when others last said that it is silent
 	probedAt, probeGap Time
 	probing            bool    // a probe is out
 	fails              int     // connections broken or refused since its last answer
@@ -164,6 +167,36 @@
 
 func (r *Router) do(a Action) { r.out = append(r.out, a) }
 
+// spend counts what was asked of a shared budget, and passes on whether it was granted.
+func (r *Router) spend(part int, yes bool) bool {
+	if yes {
+		r.granted[part]++
+	} else {
+		r.denied[part]++
+	}
+	return yes
+}
+
+// each is the span between two uses by this front of what all fronts together may use once in span.
+func (r *Router) each(span Time, part int) Time {
+	return Time(float64(span*Time(r.cfg.Fronts)) / r.parts[part])
+}
+
+// Wanted tells, for each shared budget, how much was asked of it since the last call, in what this front's own part
+// grants: 1 is as much as it has. It is the owner's to call.
+func (r *Router) Wanted() (w [4]float64) {
+	for i := range w {
+		if all := r.granted[i] + r.denied[i]; all > 0 {
+			w[i] = r.parts[i] * min(all/max(r.granted[i], 0.5), 4)
+			if r.denied[i] == 0 { // all of it was granted: not more than the part was wanted
+				w[i] = r.parts[i] / 2
+			}
+		}
+	}
+	r.granted, r.denied = [4]float64{}, [4]float64{}
+	return w
+}
+
 // Sizes are the lengths of a Router's tables.
 type Sizes struct {
 	Members, Groups int
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -142,6 +142,15 @@
 
 const deadlineSlack = 5 * time.Millisecond // the module answers before the deadline, the core itself so much after it
 
+// Witness is told what the gateway sees of members and of discovery. Its methods are called on the owner's goroutine,
+// some for each answer, and must not block.
+type Witness interface {
+	Noted(change decide.Change, member string) // the module came to believe it
+	Answered(member string)                    // an answer of any kind to a request
+	Probed(member string, answered bool)
+	Listed() // discovery answered
+}
+
 // Core owns the module. See Run.
 type Core struct {
 	Clock
@@ -154,7 +163,8 @@
 	queue []func()
 	wake  chan struct{}
 
-	watch    *watch // nil: nobody wants records
+	witness  Witness // nil: nobody wants to know
+	watch    *watch  // nil: nobody wants records
 	sink     atomic.Pointer[record.Sink]
 	requests map[uint64]*Request
 	lastID   uint64
@@ -176,6 +186,12 @@
 // Connect names the members' side and discovery.
 func (c *Core) Connect(m Members, d Directory) { c.members, c.directory = m, d }
 
+// Tell names a witness, nil for none. It must be called before Run.
+func (c *Core) Tell(w Witness) { c.witness = w }
+
+// Event hands the module an event of another part of the gateway.
+func (c *Core) Event(e decide.Event) { c.Post(func() { c.events = append(c.events, e) }) }
+
 // Post queues f to be run by the owner, in order. It never blocks.
 func (c *Core) Post(f func()) {
 	c.mu.Lock()
@@ -209,6 +225,9 @@
 		if r.HasPosition {
 			c.watch.learn(member, r.Position)
 		}
+		if c.witness != nil {
+			c.witness.Probed(member, result == decide.Served)
+		}
 		c.events = append(c.events, decide.Event{Kind: decide.Probed, Member: member, Result: result, Report: r})
 	})
 }
@@ -221,6 +240,9 @@
 			e.Members = append(e.Members, members[i].Member)
 		}
 		if kind != decide.ListError {
+			if c.witness != nil && kind != decide.ListSaved {
+				c.witness.Listed()
+			}
 			c.members.List(kind, members)
 			c.watch.listed(c.Now(), kind, e.Members)
 		}
@@ -378,6 +400,9 @@
 		a.position = o.Position
 	}
 	q.out--
+	if c.witness != nil && o.Result.Answered() {
+		c.witness.Answered(a.Member)
+	}
 	e := decide.Event{Kind: decide.Outcome, Request: q.id, Member: a.Member, Attempt: a.no, Result: o.Result,
 		Elapsed: c.Now() - a.sent, Ended: q.ended || o.Result == decide.Served, Reused: o.Reused,
 		Role: o.Role, Stamped: o.Stamped, Position: o.Position, Report: o.Report}
@@ -421,6 +446,9 @@
 		if a.Text != "" {
 			c.log.Info("decide: " + a.Text)
 		}
+		if c.witness != nil {
+			c.witness.Noted(a.Change, a.Member)
+		}
 		c.noted(a)
 	}
 }
--- a/internal/fleet/belief/belief.go
+++ b/internal/fleet/belief/belief.go
@@ -408,3 +408,6 @@
 
 // Rename takes over a new epoch of this gateway.
 func (b *Book) Rename(epoch uint64) { b.epoch = epoch }
+
+// Members are the members that something is claimed of.
+func (b *Book) Members() []string { return slices.Collect(maps.Keys(b.members)) }
--- /dev/null
+++ b/internal/fleet/config.go
@@ -0,0 +1,124 @@
+package fleet
+
+import (
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"reachwind/internal/edgeconf"
+	"reachwind/internal/fleet/peers"
+	"reachwind/internal/fleet/swim"
+)
+
+// Config is the fleet block, read and checked.
+type Config struct {
+	Name      string // the gateway's
+	Version   string
+	Listen    string
+	Advertise string
+	Admin     string // empty: none
+	Seeds     []string
+	SeedFile  string
+	Zone      string
+	Region    string
+	KeyFile   string
+	Keys      *peers.Keys
+	Folder    string // empty: none
+	Events    string // file; empty: none
+	Bytes     int
+	Routes    map[string]string
+	Keep      time.Duration
+}
+
+const (
+	bytesUsual, bytesLeast, bytesMost = 32 << 10, 4 << 10, 16 << 20
+	seedsMost                         = 64
+	tableBytes                        = 1 << 10 // of memory for each peer, its claims and metas
+	peersUsual                        = 1024    // that memory is set aside for
+	files                             = 2 + 16 + 8 + 8
+)
+
+// Read reads a fleet block. Faults are the block's.
+func Read(b *edgeconf.Block) Config {
+	c := Config{
+		Listen:    b.Text("listen", ""),
+		Advertise: b.Text("advertise", ""),
+		Admin:     b.Text("admin", ""),
+		Seeds:     b.Texts("seeds"),
+		SeedFile:  b.File("seed_file"),
+		Zone:      b.Text("zone", ""),
+		Region:    b.Text("region", ""),
+		KeyFile:   b.File("key_file"),
+		Folder:    b.File("folder"),
+		Events:    b.File("events"),
+		Bytes:     int(b.Size("bytes_per_second", bytesUsual, bytesLeast, bytesMost)),
+		Keep:      b.Span("keep_failed", 24*time.Hour, time.Minute, 30*24*time.Hour),
+		Routes:    map[string]string{},
+	}
+	address := func(in *edgeconf.Block, name, value string, wanted bool) {
+		if value == "" && !wanted {
+			return
+		}
+		if _, port, err := net.SplitHostPort(value); err != nil || port == "" || len(value) > swim.AddrMost {
+			in.FaultAt(name, "%s is %q, want host:port", name, value)
+		}
+	}
+	address(b, "listen", c.Listen, true)
+	address(b, "advertise", c.Advertise, false)
+	address(b, "admin", c.Admin, false)
+	if host, _, err := net.SplitHostPort(c.Admin); c.Admin != "" && err == nil {
+		if ip := net.ParseIP(host); host != "localhost" && (ip == nil || !ip.IsLoopback()) {
+			b.FaultAt("admin", "admin is %q, want a loopback address", c.Admin)
+		}
+	}
+	for _, s := range c.Seeds {
+		address(b, "seeds", s, true)
+	}
+	if len(c.Seeds) > seedsMost {
+		b.FaultAt("seeds", "%d seeds, want at most %d", len(c.Seeds), seedsMost)
+	}
+	if len(c.Zone) > swim.NameMost || len(c.Region) > swim.NameMost {
+		b.Fault("zone or region is longer than %d bytes", swim.NameMost)
+	}
+	b.Blocks("route", true, func(r *edgeconf.Block) {
+		to := r.Text("address", "")
+		address(r, "address", to, true)
+		c.Routes[r.Label] = to
+	})
+	switch {
+	case c.KeyFile == "":
+		b.Fault("no key_file, want a file with a base64 key of 32 bytes a line")
+	default:
+		var err error
+		if c.Keys, err = peers.ReadKeys(c.KeyFile); err != nil {
+			b.FaultAt("key_file", "%v", err)
+		}
+	}
+	if c.SeedFile != "" {
+		if _, err := readSeeds(c.SeedFile); err != nil {
+			b.FaultAt("seed_file", "%v", err)
+		}
+	}
+	return c
+}
+
+// readSeeds reads a file with an address a line.
+func readSeeds(path string) (seeds []string, err error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	for line := range strings.Lines(string(text)) {
+		line = strings.TrimSpace(line)
+		if _, _, err := net.SplitHostPort(line); err == nil && line[0] != '#' && len(seeds) < seedsMost {
+			seeds = append(seeds, line)
+		}
+	}
+	return seeds, nil
+}
+
+// Footprint is what the part holds at most: bytes and descriptors.
+func (c *Config) Footprint() (memory int64, descriptors int) {
+	return peersUsual*tableBytes + int64(2*c.Bytes), files
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,505 @@
+// Package fleet has a gateway know its peers: it runs the group's part on one
+// goroutine, behind sockets, and joins it to the gateway. No request waits for it
+// or fails by it; without it, or without any peer, the gateway serves as ever.
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"reachwind/internal/fleet/belief"
+	"reachwind/internal/fleet/group"
+	"reachwind/internal/fleet/peers"
+	"reachwind/internal/fleet/share"
+	"reachwind/internal/fleet/swim"
+	"reachwind/internal/fleet/view"
+	"reachwind/internal/often"
+)
+
+const (
+	tick       = 100 * time.Millisecond
+	asksMost   = 64 // callers that wait for the owner
+	adminWait  = 2 * time.Second
+	sawMost    = 256 // observations that wait for the owner; more are dropped and counted
+	seedsEvery = 5 * time.Second
+	shareEvery = time.Second
+	shareStep  = 0.05 // by which a part must change to be told to the gateway
+)
+
+// Gateway is what the fleet needs of the gateway. Its methods must not block.
+type Gateway interface {
+	// Told takes advice on a member.
+	Told(member string, look, try, guess bool)
+	// Parts takes what this gateway may use of each shared budget, 1 being its own part, and returns how much of its
+	// own part it asked for lately, by done, which may be called later.
+	Parts(parts [share.Budgets]float64, done func(used [share.Budgets]float64))
+}
+
+// Deps are what a fleet part is made of.
+type Deps struct {
+	Log     *slog.Logger
+	Gateway Gateway                            // nil: none, for processes that are peers only
+	Wall    func() time.Time                   // the process's own wall clock
+	Zone    string                             // the gateway's, if the block names none
+	Load    func() float64                     // how busy the gateway is; may be nil
+	Listen  func(string) (net.Listener, error) // for the admin address
+}
+
+// Fleet is the part at work.
+type Fleet struct {
+	conf   Config
+	deps   Deps
+	log    *slog.Logger
+	net    *peers.Sockets
+	group  *group.Group // the owner's
+	begin  time.Time
+	epoch  uint64
+	number uint64
+	events *eventLog
+	saw    chan group.Saw
+	asks   chan func()
+	stop   chan struct{}
+	ended  chan struct{}
+	admin  *http.Server
+	seeds  []string
+	parts  [share.Budgets]float64
+
+	member, discovery atomic.Int64 // last answers, on the fleet's clock
+	hot               atomic.Pointer[map[string]bool]
+	dropped           atomic.Int64
+	once              sync.Once
+
+	suspects, looks often.Line
+}
+
+// Start opens the sockets and begins.
+func Start(c Config, d Deps) (*Fleet, error) {
+	if c.Zone == "" {
+		c.Zone = d.Zone
+	}
+	if d.Wall == nil {
+		d.Wall = time.Now
+	}
+	last := uint64(0)
+	if c.Folder != "" {
+		var err error
+		if last, err = readEpoch(c.Folder); err != nil {
+			d.Log.Warn("fleet epoch not read, the clock gives a new one", "err", err)
+		}
+	}
+	f := &Fleet{conf: c, deps: d, log: d.Log, begin: time.Now(), saw: make(chan group.Saw, sawMost), asks: make(chan func(), asksMost),
+		stop: make(chan struct{}), ended: make(chan struct{})}
+	f.epoch = group.EpochOf(d.Wall().UnixMilli(), uint16(rand.Uint32()), last)
+	f.keepEpoch()
+	f.member.Store(int64(view.Never))
+	f.discovery.Store(int64(view.Never))
+	f.hot.Store(&map[string]bool{})
+	for i := range f.parts {
+		f.parts[i] = 1
+	}
+	var err error
+	if f.events, err = newEventLog(c.Events); err != nil {
+		return nil, fmt.Errorf("events: %w", err)
+	}
+	if f.net, err = peers.Listen(peers.Config{Listen: c.Listen, Advertise: c.Advertise, Keys: c.Keys, Bytes: c.Bytes, Routes: c.Routes}, d.Log); err != nil {
+		return nil, err
+	}
+	f.seeds = f.allSeeds()
+	f.group = group.New(group.Config{Region: c.Region, Version: c.Version, Started: 0,
+		Swim: swim.Config{Name: c.Name, Addr: f.net.Addr(), Zone: c.Zone, Epoch: f.epoch, Seeds: f.seeds, Seed: rand.Uint64(), Keep: c.Keep}})
+	if err := f.listenAdmin(); err != nil {
+		f.net.Close()
+		return nil, fmt.Errorf("admin: %w", err)
+	}
+	f.event(Event{Kind: "start"})
+	f.log.Info("fleet begins", "name", c.Name, "epoch", f.epoch, "listen", c.Listen, "advertise", f.net.Addr(), "seeds", len(f.seeds))
+	go f.run()
+	return f, nil
+}
+
+func (f *Fleet) keepEpoch() {
+	if f.conf.Folder == "" {
+		return
+	}
+	if err := writeEpoch(f.conf.Folder, f.epoch); err != nil {
+		f.log.Warn("fleet epoch not kept", "err", err)
+	}
+}
+
+func (f *Fleet) allSeeds() []string {
+	seeds := slices.Clone(f.conf.Seeds)
+	if f.conf.SeedFile != "" {
+		more, err := readSeeds(f.conf.SeedFile)
+		if err != nil {
+			f.log.Warn("fleet seeds not read, the old ones hold", "err", err)
+			return f.seeds
+		}
+		seeds = append(seeds, more...)
+	}
+	if seeds == nil {
+		seeds = []string{}
+	}
+	return seeds
+}
+
+func (f *Fleet) now() time.Duration { return time.Since(f.begin) }
+
+// run owns the group.
+func (f *Fleet) run() {
+	defer close(f.ended)
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	var seedsAt, shareAt time.Duration
+	for {
+		select {
+		case <-f.stop:
+			leave := true
+			f.carry(f.group.Step(f.now(), group.Event{Leave: leave}))
+			f.event(Event{Kind: "leave"})
+			return
+		case m := <-f.net.In():
+			f.carry(f.group.Step(f.now(), group.Event{Frame: m.Frame, Stream: m.Stream, Refused: m.Refused}))
+		case s := <-f.saw:
+			f.carry(f.group.Step(f.now(), group.Event{Saw: &s}))
+		case ask := <-f.asks:
+			ask()
+		case <-t.C:
+			now := f.now()
+			f.group.Heard(time.Duration(f.member.Load()), time.Duration(f.discovery.Load()))
+			if f.deps.Load != nil {
+				f.group.Load(f.deps.Load())
+			}
+			f.carry(f.group.Step(now))
+			if now >= seedsAt {
+				seedsAt = now + seedsEvery
+				if s := f.allSeeds(); !slices.Equal(s, f.seeds) {
+					f.seeds = s
+					f.carry(f.group.Step(now, group.Event{Seeds: s}))
+				}
+				f.warm()
+			}
+			if now >= shareAt && f.deps.Gateway != nil {
+				shareAt = now + shareEvery
+				f.share(now)
+			}
+		}
+	}
+}
+
+// share tells the gateway its parts, and learns what it used.
+func (f *Fleet) share(now time.Duration) {
+	for i := range f.parts {
+		if p := f.group.Ledger.Part(now, i); p < f.parts[i] || p > f.parts[i]+shareStep {
+			f.parts[i] = p // less at once, more by steps
+		}
+	}
+	f.deps.Gateway.Parts(f.parts, func(used [share.Budgets]float64) {
+		select {
+		case f.asks <- func() {
+			for i, u := range used {
+				f.group.Ledger.Used(i, u)
+			}
+		}:
+		default:
+		}
+	})
+}
+
+// warm notes which members something is claimed of: answers of others need no look.
+func (f *Fleet) warm() {
+	hot := map[string]bool{}
+	for _, m := range f.group.Book.Members() {
+		hot[m] = true
+	}
+	if len(hot) > 0 || len(*f.hot.Load()) > 0 {
+		f.hot.Store(&hot)
+	}
+}
+
+// carry carries out what the group wants.
+func (f *Fleet) carry(acts []group.Action) {
+	for i := range acts {
+		a := &acts[i]
+		switch {
+		case a.Frame != nil && a.Stream != 0:
+			f.net.Answer(a.Stream, a.To, a.Frame, a.Spare)
+		case a.Frame != nil:
+			f.net.Send(a.Name, a.To, a.Frame, a.Dial, a.Spare)
+		case a.Change != nil:
+			f.change(a.Change)
+		case a.Verdict:
+			s := f.group.View.Status()
+			f.log.Info("fleet verdict", "verdict", s.Verdict.String(), "number", s.Number, "reasons", s.Reasons)
+			f.event(Event{Kind: "verdict", State: s.Verdict.String(), Reasons: s.Reasons})
+		case a.Advice != nil:
+			v := a.Advice
+			if v.Look {
+				f.looks.Info(f.log, "fleet has members looked at", "member", v.Member, "witnesses", v.Witnesses)
+				f.event(Event{Kind: "look", Member: v.Member})
+				hot := map[string]bool{v.Member: true}
+				for m := range *f.hot.Load() {
+					hot[m] = true
+				}
+				f.hot.Store(&hot)
+			}
+			if f.deps.Gateway != nil {
+				f.deps.Gateway.Told(v.Member, v.Look, v.Try, v.Guess)
+			}
+		}
+	}
+}
+
+func (f *Fleet) change(c *swim.Change) {
+	switch {
+	case c.Paused > 0:
+		f.log.Warn("this gateway was stopped a while", "span", c.Paused)
+		f.event(Event{Kind: "paused", For: int64(c.Paused)})
+	case c.Displaced:
+		f.log.Error("another gateway has this name", "name", f.conf.Name, "its_epoch", c.Peer.Epoch, "its_address", c.Peer.Addr)
+		f.event(Event{Kind: "displaced", Peer: c.Peer.Name, PeerOf: c.Peer.Epoch})
+	case c.Epoch != 0:
+		f.epoch = c.Epoch
+		f.keepEpoch()
+		f.log.Info("fleet epoch is new", "epoch", c.Epoch)
+		f.event(Event{Kind: "epoch"})
+	case c.From == c.Peer.State:
+	default:
+		was := ""
+		if c.From != 0 {
+			was = c.From.String()
+		}
+		f.event(Event{Kind: "peer", Peer: c.Peer.Name, PeerOf: c.Peer.Epoch, State: c.Peer.State.String(), Was: was})
+		if c.Peer.State == swim.Suspect || c.From == swim.Suspect && c.Peer.State == swim.Alive {
+			f.suspects.Info(f.log, "fleet peer", "peer", c.Peer.Name, "state", c.Peer.State.String(), "was", was)
+			return
+		}
+		f.log.Info("fleet peer", "peer", c.Peer.Name, "state", c.Peer.State.String(), "was", was, "epoch", c.Peer.Epoch)
+	}
+}
+
+func (f *Fleet) event(e Event) {
+	if f.events == nil {
+		return
+	}
+	f.number++
+	e.Name, e.Epoch, e.Number, e.Mono, e.Wall = f.conf.Name, f.epoch, f.number, int64(f.now()), f.deps.Wall().UnixNano()
+	f.events.put(e)
+}
+
+// What the gateway saw. These may be called from any goroutine and never block.
+
+// Saw takes what the gateway came to believe of a member by its own experience.
+func (f *Fleet) Saw(member string, k belief.Kind, position int64) {
+	f.look(group.Saw{Member: member, Kind: k, Position: position})
+}
+
+// Probed takes how a probe of a member ended.
+func (f *Fleet) Probed(member string, answered bool) {
+	if (*f.hot.Load())[member] {
+		k := belief.Silent
+		if answered {
+			k = belief.Answers
+		}
+		f.look(group.Saw{Member: member, Kind: k, Looked: true})
+	}
+}
+
+// Answered takes that a member answered a request. It is on each request's way: a store, and no more for members
+// that nothing is claimed of.
+func (f *Fleet) Answered(member string) {
+	f.member.Store(int64(f.now()))
+	if hot := *f.hot.Load(); len(hot) > 0 && hot[member] {
+		f.look(group.Saw{Member: member, Kind: belief.Answers, Quiet: true})
+	}
+}
+
+// Discovered takes that discovery answered.
+func (f *Fleet) Discovered() { f.discovery.Store(int64(f.now())) }
+
+func (f *Fleet) look(s group.Saw) {
+	select {
+	case f.saw <- s:
+	default:
+		f.dropped.Add(1)
+	}
+}
+
+// Reload, and the end.
+
+// ErrRestart is returned for a change that a reload can't make.
+var ErrRestart = errors.New("listen, advertise, admin, zone, region, folder, events and bytes_per_second take a restart")
+
+// Prepare checks a new configuration and returns what takes it over: keys, routes and seeds.
+func (f *Fleet) Prepare(c Config) (func(), error) {
+	o := &f.conf
+	if c.Zone == "" {
+		c.Zone = f.deps.Zone
+	}
+	if c.Listen != o.Listen || c.Advertise != o.Advertise || c.Admin != o.Admin || c.Zone != o.Zone || c.Region != o.Region || c.Folder != o.Folder ||
+		c.Events != o.Events || c.Bytes != o.Bytes {
+		return nil, ErrRestart
+	}
+	return func() {
+		f.net.SetKeys(c.Keys, c.Routes)
+		_ = f.ask(func() { f.conf.Seeds, f.conf.SeedFile = c.Seeds, c.SeedFile })
+	}, nil
+}
+
+// Drain tells the peers that this gateway takes nothing new.
+func (f *Fleet) Drain(yes bool) {
+	_ = f.ask(func() { f.carry(f.group.Step(f.now(), group.Event{Drain: &yes})) })
+}
+
+// Close tells the peers that this gateway leaves, and ends.
+func (f *Fleet) Close(ctx context.Context) {
+	f.once.Do(func() {
+		close(f.stop)
+		<-f.ended
+		if f.admin != nil {
+			_ = f.admin.Shutdown(ctx)
+		}
+		f.net.Close()
+		f.events.close()
+	})
+}
+
+// ask has the owner run a function and waits for it.
+func (f *Fleet) ask(do func()) error {
+	done := make(chan struct{})
+	t := time.NewTimer(adminWait)
+	defer t.Stop()
+	select {
+	case f.asks <- func() { do(); close(done) }:
+	case <-t.C:
+		return errors.New("the fleet part is too busy")
+	case <-f.ended:
+		return errors.New("the fleet part has ended")
+	}
+	select {
+	case <-done:
+	case <-t.C:
+		return errors.New("the fleet part is too busy")
+	case <-f.ended:
+		return errors.New("the fleet part has ended")
+	}
+	return nil
+}
+
+// Admin.
+
+// Member is a line of `reachwind fleet members`.
+type Member struct {
+	Name    string  `json:"name"`
+	Zone    string  `json:"zone"`
+	Region  string  `json:"region"`
+	State   string  `json:"state"`
+	Epoch   uint64  `json:"epoch"`
+	Version string  `json:"version"`
+	Address string  `json:"address"`
+	Verdict string  `json:"verdict"`
+	Load    float64 `json:"load"`
+	Drain   bool    `json:"drain"`
+	SinceMs int64   `json:"since_ms"`
+	RTTMs   float64 `json:"rtt_ms"`
+	Sure    float64 `json:"sure"`
+	Self    bool    `json:"self"`
+}
+
+// View is what `reachwind fleet view` shows.
+type View struct {
+	Name    string             `json:"name"`
+	Epoch   uint64             `json:"epoch"`
+	Verdict string             `json:"verdict"`
+	Number  uint64             `json:"number"`
+	SinceMs int64              `json:"since_ms"`
+	Reasons []string           `json:"reasons"`
+	Digest  string             `json:"digest"`
+	Doubt   int                `json:"doubt"`
+	Parts   map[string]float64 `json:"parts"`
+	Counts  map[string]int64   `json:"counts"`
+}
+
+func (f *Fleet) members() []Member {
+	now := f.now()
+	self := f.group.Swim.Self()
+	all := []Member{{Name: self.Name, Zone: f.conf.Zone, Region: f.conf.Region, State: self.State.String(), Epoch: self.Epoch, Version: f.conf.Version,
+		Address: self.Addr, Verdict: f.group.View.Status().Verdict.String(), SinceMs: now.Milliseconds(), Sure: 1, Self: true}}
+	e := f.group.Evidence()
+	for _, p := range f.group.Swim.Peers() {
+		m := f.group.Meta(&p)
+		all = append(all, Member{Name: p.Name, Zone: m.Zone, Region: m.Region, State: p.State.String(), Epoch: p.Epoch, Version: m.Version, Address: p.Addr,
+			Verdict: m.Verdict.String(), Load: float64(m.Load) / 8, Drain: m.Drain, SinceMs: (now - p.Since).Milliseconds(),
+			RTTMs: float64(p.RTT.Microseconds()) / 1000, Sure: f.group.View.Sure(now, &p, e)})
+	}
+	slices.SortFunc(all, func(a, b Member) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+func (f *Fleet) view() View {
+	now := f.now()
+	s := f.group.View.Status()
+	c := &f.net.Counts
+	d := f.group.Swim.Dropped
+	v := View{Name: f.conf.Name, Epoch: f.epoch, Verdict: s.Verdict.String(), Number: s.Number, SinceMs: (now - s.Since).Milliseconds(), Reasons: s.Reasons,
+		Digest: fmt.Sprintf("%016x", f.group.Swim.Digest()), Doubt: f.group.Swim.Doubt(), Parts: map[string]float64{},
+		Counts: map[string]int64{"sent": c.Sent.Load(), "sent_bytes": c.SentBytes.Load(), "taken": c.Taken.Load(), "taken_bytes": c.TakenBytes.Load(),
+			"unauthentic": c.Unauthentic.Load(), "repeated": c.Repeated.Load(), "unknown_key": c.UnknownKey.Load(), "overflow": c.Overflow.Load(),
+			"throttled": c.Throttled.Load(), "streams_refused": c.StreamsRefused.Load(), "unknown_kind": int64(f.group.Unknown + d.Kind),
+			"garbled": int64(f.group.Garbled), "old_epoch": int64(d.Epoch), "wrong_address": int64(d.Address), "impossible": int64(d.Jump),
+			"table_full": int64(d.Full), "claims_full": int64(f.group.Book.Dropped.Full), "claims_old": int64(f.group.Book.Dropped.Old),
+			"looks": int64(f.group.Book.Looks), "looks_wrong": int64(f.group.Book.Wrong), "looks_held": int64(f.group.Book.Dropped.Rate),
+			"saw_dropped": f.dropped.Load(), "loans_out": int64(f.group.Ledger.Lent), "loans_in": int64(f.group.Ledger.Taken),
+			"loans_refused": int64(f.group.Ledger.Refused)}}
+	if f.events != nil {
+		v.Counts["events_dropped"] = f.events.Dropped.Load()
+	}
+	for i, n := range share.Names {
+		v.Parts[n] = f.group.Ledger.Part(now, i)
+	}
+	return v
+}
+
+// listenAdmin serves what `reachwind fleet` asks for.
+func (f *Fleet) listenAdmin() error {
+	if f.conf.Admin == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", f.conf.Admin)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	handle := func(path string, get func() any) {
+		mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
+			var v any
+			if err := f.ask(func() { v = get() }); err != nil {
+				http.Error(w, err.Error(), http.StatusServiceUnavailable)
+				return
+			}
+			w.Header().Set("Content-Type", "application/json")
+			_ = json.NewEncoder(w).Encode(v)
+		})
+	}
+	handle("/v1/members", func() any { return f.members() })
+	handle("/v1/view", func() any { return f.view() })
+	handle("/v1/beliefs", func() any { return f.group.Book.Lines(f.now()) })
+	f.admin = &http.Server{Handler: mux, ReadHeaderTimeout: adminWait, ReadTimeout: adminWait, WriteTimeout: 2 * adminWait, IdleTimeout: adminWait,
+		MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug)}
+	go func() { _ = f.admin.Serve(l) }()
+	return nil
+}
--- a/internal/fleet/group/group.go
+++ b/internal/fleet/group/group.go
@@ -91,6 +91,7 @@
 type Action struct {
 	Frame   []byte // to be sealed and sent to To, or on Stream
 	To      string
+	Name    string // of the peer there, empty: not known
 	Stream  uint64
 	Dial    bool // by a stream of its own
 	Spare   bool // may be dropped first where the bytes a second are used up
@@ -200,7 +201,7 @@
 			continue
 		}
 		k := a.Message.Kind
-		g.out = append(g.out, Action{Frame: append([]byte{frameSwim}, swim.Encode(a.Message)...), To: a.To, Stream: a.Stream, Dial: a.Dial,
+		g.out = append(g.out, Action{Frame: append([]byte{frameSwim}, swim.Encode(a.Message)...), To: a.To, Name: a.Name, Stream: a.Stream, Dial: a.Dial,
 			Spare: k == swim.Gossip || k == swim.Sync || k == swim.SyncReply})
 	}
 }
@@ -296,7 +297,7 @@
 	if err != nil {
 		panic(err) // plain fields
 	}
-	g.out = append(g.out, Action{Frame: append([]byte{kind}, b...), To: p.Addr, Spare: spare})
+	g.out = append(g.out, Action{Frame: append([]byte{kind}, b...), To: p.Addr, Name: p.Name, Spare: spare})
 }
 
 func (g *Group) timers() {
@@ -367,3 +368,8 @@
 	g.Swim.Each(func(p *swim.Peer) { g.View.Count(&g.tallied, g.now, p, g.Meta(p).Zone) })
 	return g.tallied
 }
+
+// Heard takes when members and discovery last answered, on the owner's clock.
+func (g *Group) Heard(member, discovery Time) {
+	g.member, g.discovery = max(g.member, member), max(g.discovery, discovery)
+}
--- /dev/null
+++ b/internal/fleet/peers/keys.go
@@ -0,0 +1,260 @@
+package peers
+
+import (
+	"bytes"
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+)
+
+// Keys are the group's keys: the first is used, all are accepted.
+type Keys struct{ list []key }
+
+type key struct {
+	id     [4]byte
+	secret [32]byte
+}
+
+const keysMost = 16
+
+// ReadKeys reads a file with a base64 key of 32 bytes a line; empty lines and lines that begin with # are passed over.
+func ReadKeys(path string) (*Keys, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	k := new(Keys)
+	for i, line := range strings.Split(string(text), "\n") {
+		line = strings.TrimSpace(line)
+		if line == "" || line[0] == '#' {
+			continue
+		}
+		raw, err := base64.StdEncoding.DecodeString(line)
+		if err != nil || len(raw) != 32 {
+			return nil, fmt.Errorf("%s:%d: no key found, want 32 bytes in base64", path, i+1)
+		}
+		var one key
+		copy(one.secret[:], raw)
+		sum := sha256.Sum256(append([]byte("reachwind fleet key"), raw...))
+		copy(one.id[:], sum[:])
+		k.list = append(k.list, one)
+	}
+	if len(k.list) == 0 || len(k.list) > keysMost {
+		return nil, fmt.Errorf("%s: %d keys found, want from 1 to %d", path, len(k.list), keysMost)
+	}
+	return k, nil
+}
+
+// Sealed messages are
+//
+//	form (1) | key's id (4) | instance (16) | counter (8) | AES-256-GCM of (length of address (1) | address | frame)
+//
+// under a key made of the group's key and the instance, which is random with each start of a process, so that no two
+// processes ever use one nonce under one key. The counter is the nonce. All that stands before the cipher text is
+// authenticated with it.
+const (
+	form       = 1
+	headLen    = 1 + 4 + 16 + 8
+	tagLen     = 16
+	windowLen  = 1024 // counters that may come out of order
+	windowsMax = 4096 // instances followed; those heard of least lately go first
+)
+
+type instance [16]byte
+
+func (k *key) aead(of instance) cipher.AEAD {
+	h := hmac.New(sha256.New, k.secret[:])
+	h.Write([]byte("reachwind fleet 1"))
+	h.Write(of[:])
+	block, err := aes.NewCipher(h.Sum(nil))
+	if err != nil {
+		panic(err) // 32 bytes
+	}
+	g, err := cipher.NewGCM(block)
+	if err != nil {
+		panic(err)
+	}
+	return g
+}
+
+// sealer seals for one process. It is not safe for concurrent use.
+type sealer struct {
+	own     instance
+	counter uint64
+	aeads   map[[4]byte]cipher.AEAD
+	buf     []byte
+}
+
+func newSealer() *sealer {
+	s := &sealer{aeads: map[[4]byte]cipher.AEAD{}}
+	if _, err := rand.Read(s.own[:]); err != nil {
+		panic(err) // the system has no random numbers
+	}
+	return s
+}
+
+func nonce(counter uint64) []byte {
+	var n [12]byte
+	binary.BigEndian.PutUint64(n[4:], counter)
+	return n[:]
+}
+
+func (s *sealer) seal(k *key, addr string, frame []byte) []byte {
+	a := s.aeads[k.id]
+	if a == nil {
+		if len(s.aeads) > keysMost {
+			clear(s.aeads)
+		}
+		a = k.aead(s.own)
+		s.aeads[k.id] = a
+	}
+	s.counter++
+	head := make([]byte, headLen, headLen+1+len(addr)+len(frame)+tagLen)
+	head[0] = form
+	copy(head[1:], k.id[:])
+	copy(head[5:], s.own[:])
+	binary.BigEndian.PutUint64(head[21:], s.counter)
+	s.buf = append(append(append(s.buf[:0], byte(len(addr))), addr...), frame...)
+	return a.Seal(head, nonce(s.counter), s.buf, head)
+}
+
+// opener opens what others sealed, each message once. It is not safe for concurrent use.
+type opener struct {
+	own     instance
+	windows map[instance]*window
+	turn    uint64
+}
+
+type window struct {
+	aeads map[[4]byte]cipher.AEAD
+	top   uint64
+	seen  [windowLen / 64]uint64
+	turn  uint64
+}
+
+var (
+	errShort    = errors.New("too short, or of another form")
+	errKey      = errors.New("sealed under a key that is not in the file")
+	errSeal     = errors.New("not authentic")
+	errRepeated = errors.New("repeated")
+	errOwn      = errors.New("its own, come back")
+)
+
+// opened is an authentic message. Addr is where its sender says that it is reached.
+type opened struct {
+	addr  string
+	frame []byte
+	key   [4]byte
+}
+
+func (o *opener) open(keys *Keys, b []byte) (m opened, err error) {
+	if len(b) < headLen+tagLen+1 || b[0] != form {
+		return m, errShort
+	}
+	var of instance
+	copy(m.key[:], b[1:])
+	copy(of[:], b[5:])
+	if of == o.own {
+		return m, errOwn
+	}
+	var k *key
+	for i := range keys.list {
+		if keys.list[i].id == m.key {
+			k = &keys.list[i]
+		}
+	}
+	if k == nil {
+		return m, errKey
+	}
+	counter := binary.BigEndian.Uint64(b[21:])
+	w := o.windows[of]
+	var a cipher.AEAD
+	if w != nil {
+		if w.had(counter) {
+			return m, errRepeated
+		}
+		a = w.aeads[k.id]
+	}
+	if a == nil {
+		a = k.aead(of)
+	}
+	plain, err := a.Open(nil, nonce(counter), b[headLen:], b[:headLen])
+	if err != nil {
+		return m, errSeal
+	}
+	if w == nil { // only who knows a key makes a window
+		w = o.add(of)
+	}
+	o.turn++
+	w.turn = o.turn
+	w.aeads[k.id] = a
+	w.mark(counter)
+	n := int(plain[0])
+	if len(plain) < 1+n {
+		return m, errShort
+	}
+	m.addr, m.frame = string(plain[1:1+n]), plain[1+n:]
+	return m, nil
+}
+
+func (o *opener) add(of instance) *window {
+	if len(o.windows) >= windowsMax {
+		var oldest instance
+		least := uint64(1) << 63
+		for i, w := range o.windows {
+			if w.turn < least {
+				oldest, least = i, w.turn
+			}
+		}
+		delete(o.windows, oldest)
+	}
+	w := &window{aeads: map[[4]byte]cipher.AEAD{}}
+	o.windows[of] = w
+	return w
+}
+
+// had tells whether a counter came before, or is too old to tell.
+func (w *window) had(c uint64) bool {
+	if c > w.top {
+		return false
+	}
+	if w.top-c >= windowLen {
+		return true
+	}
+	return w.seen[c/64%uint64(len(w.seen))]&(1<<(c%64)) != 0
+}
+
+func (w *window) mark(c uint64) {
+	if c > w.top {
+		if c-w.top >= windowLen {
+			clear(w.seen[:])
+		} else {
+			for i := w.top + 1; i < c; i++ {
+				w.seen[i/64%uint64(len(w.seen))] &^= 1 << (i % 64)
+			}
+		}
+		w.top = c
+	}
+	w.seen[c/64%uint64(len(w.seen))] |= 1 << (c % 64)
+}
+
+// same tells whether two sets of keys are the same in the same order.
+func (k *Keys) same(o *Keys) bool {
+	if len(k.list) != len(o.list) {
+		return false
+	}
+	for i := range k.list {
+		if !bytes.Equal(k.list[i].secret[:], o.list[i].secret[:]) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/fleet/swim/swim.go
+++ b/internal/fleet/swim/swim.go
@@ -35,18 +35,19 @@
 	askTimes    = 3               // an answer by way of others has so many times the patience
 
 	suspectTimes = 4.0 // periods, times log10 of the group's size: what a suspect has to deny it at the least
-	suspectMost  = 4.0 // times that, with no other witness
+	suspectMost  = 3.0 // times that, with no other witness
 	witnesses    = 3   // zones, or peers where there is one zone, that bring it down to the least
 	retransmit   = 1.3 // times log2 of the group's size: how often a piece of news is passed on
-	doubtMost    = 6   // self-doubt: a process that misses answers of all waits up to so many times longer
+	doubtMost    = 3   // self-doubt: a process that misses answers of all waits up to so many times longer
 	pauseLeast   = 1500 * time.Millisecond
 	reconnect    = 2 * time.Second // one failed peer or seed is tried in each
 	syncGap      = 2 * time.Second // between syncs by digest, as news is under way too
 	syncQuiet    = time.Second     // no sync by digest while news came so lately
 	helloEvery   = time.Second     // while alone
-	incJump      = 1 << 20         // an incarnation further ahead is a lie: its peer could never deny more
+	incMost      = 1 << 20         // a higher incarnation is a lie, which its peer could hardly deny; half way there a new epoch begins
 	leftKeep     = 10 * time.Minute
 	probesMost   = 1024 // under way, for others too
+	greetedMost  = 256
 	rttBlend     = 0.125
 	varBlend     = 0.25
 )
@@ -107,6 +108,7 @@
 // Action is what must be done.
 type Action struct {
 	To      string // address
+	Name    string // of the peer there, for who reaches it by another address; empty: not known
 	Message *Message
 	Stream  uint64 // answer on this stream
 	Dial    bool   // by a stream of its own, whose answer comes as an event
@@ -136,21 +138,23 @@
 
 // Node is one gateway's part. It is its owner's alone.
 type Node struct {
-	cfg    Config
-	rng    *rand.Rand
-	now    Time
-	out    []Action
-	inc    uint32
-	meta   []byte
-	seeds  []string
-	peers  map[string]*Peer
-	order  []string         // names, shuffled anew each round
-	fresh  []*Peer          // whose news is still passed on
-	ended  map[string]*Peer // suspect, failed or left
-	at     int
-	probes map[uint32]*probe
-	seq    uint32
-	doubt  int
+	cfg     Config
+	rng     *rand.Rand
+	now     Time
+	out     []Action
+	inc     uint32
+	meta    []byte
+	seeds   []string
+	peers   map[string]*Peer
+	order   []string         // names, shuffled anew each round
+	fresh   []*Peer          // whose news is still passed on
+	ended   map[string]*Peer // suspect, failed or left
+	at      int
+	probes  map[uint32]*probe
+	greeted map[uint32]string // hellos that may still be answered, by number: where they went
+	owners  map[string]string // who answered at a seed's address
+	seq     uint32
+	doubt   int
 
 	stepped, pingAt, gossipAt, retryAt, newsAt, syncAt, helloAt Time
 	displaced, left                                             bool
@@ -170,7 +174,7 @@
 		c.Keep = 24 * time.Hour
 	}
 	n := &Node{cfg: c, rng: rand.New(rand.NewPCG(c.Seed, 0x7377696d)), meta: c.Meta, seeds: c.Seeds, peers: map[string]*Peer{},
-		ended: map[string]*Peer{}, probes: map[uint32]*probe{}, stepped: never, newsAt: never, syncAt: never, helloAt: never}
+		ended: map[string]*Peer{}, probes: map[uint32]*probe{}, greeted: map[uint32]string{}, owners: map[string]string{}, stepped: never, newsAt: never, syncAt: never, helloAt: never}
 	n.self = n.spread()
 	return n
 }
@@ -259,6 +263,9 @@
 		n.pingAt = now + Time(n.rng.Float64()*float64(period))
 	}
 	n.now, n.stepped = now, now
+	if n.inc > incMost/2 {
+		n.renew(n.cfg.Epoch + 1)
+	}
 	for i := range events {
 		n.take(&events[i])
 	}
@@ -305,6 +312,7 @@
 	}
 	if e.Seeds != nil {
 		n.seeds = e.Seeds
+		clear(n.owners)
 	}
 }
 
@@ -317,7 +325,10 @@
 
 func (n *Node) act(a Action) {
 	a.Message.From, a.Message.Addr = n.id(), n.cfg.Addr
-	if a.Message.Kind != Hello && a.Message.Kind != Welcome && a.Message.Kind != Gossip {
+	if a.Name == "" {
+		a.Name = a.Message.To.Name
+	}
+	if a.Message.Kind != Hello && a.Message.Kind != Gossip {
 		a.Message.Digest = n.Digest()
 	}
 	n.out = append(n.out, a)
@@ -437,7 +448,7 @@
 	p := n.peers[m.From.Name]
 	if p != nil && m.From.Epoch < p.Epoch && n.on(GuardEpoch) {
 		n.Dropped.Epoch++
-		if m.Kind == Ping || m.Kind == Sync { // let it know who has its name
+		if m.Kind != Ack && m.Kind != Gossip { // let it know who has its name
 			n.send(m.Addr, &Message{Kind: Gossip, To: m.From, Claims: []Claim{n.claim(p)}})
 		}
 		return
@@ -473,7 +484,14 @@
 		n.act(Action{To: m.Addr, Stream: stream, Message: n.all(&Message{Kind: SyncReply, Seq: m.Seq, To: m.From})})
 	case Gossip, SyncReply:
 	case Welcome: // a seed, or one that was failed, is there: take its table
-		n.sync(m.Addr, m.From)
+		if at, ok := n.greeted[m.Seq]; ok {
+			delete(n.greeted, m.Seq)
+			n.owners[at] = m.From.Name
+		}
+		if p == nil || p.State != Alive || m.Digest != n.Digest() {
+			n.sync(m.Addr, m.From)
+			return
+		}
 	default:
 		n.Dropped.Kind++
 	}
@@ -554,14 +572,12 @@
 	}
 	p := n.peers[c.Name]
 	switch {
+	case c.Inc > incMost && n.on(GuardJump):
+		n.Dropped.Jump++
+		return
 	case p == nil:
 		n.meet(&c)
 		return
-	case c.Epoch < p.Epoch && n.on(GuardEpoch):
-		return
-	case c.Epoch == p.Epoch && n.on(GuardJump) && c.Inc > p.Inc && c.Inc-p.Inc > incJump:
-		n.Dropped.Jump++
-		return
 	}
 	newer := c.Epoch > p.Epoch || c.Epoch == p.Epoch && c.Inc > p.Inc
 	same := c.Epoch == p.Epoch && c.Inc == p.Inc
@@ -597,9 +613,7 @@
 	switch {
 	case c.Epoch > n.cfg.Epoch && (c.State == Failed || c.State == Left || !n.on(GuardYield)):
 		// That start has ended, yet it was later than this one: an old copy of the folder, or a clock that went back.
-		n.cfg.Epoch, n.inc, n.displaced = c.Epoch+1, 0, false
-		n.self = n.spread()
-		n.out = append(n.out, Action{Change: &Change{Epoch: n.cfg.Epoch}})
+		n.renew(c.Epoch + 1)
 	case c.Epoch > n.cfg.Epoch:
 		if !n.displaced {
 			n.displaced = true
@@ -610,8 +624,8 @@
 			n.self = max(n.self, n.spread()/2)
 		}
 	case n.left:
-	case c.State != Alive && c.Inc >= n.inc && n.on(GuardRefute):
-		if c.Inc-n.inc > incJump && n.on(GuardJump) {
+	case (c.Inc > n.inc || c.State != Alive && c.Inc == n.inc) && n.on(GuardRefute):
+		if c.Inc > incMost && n.on(GuardJump) {
 			n.Dropped.Jump++
 			return
 		}
@@ -621,6 +635,13 @@
 	}
 }
 
+// renew begins a new epoch.
+func (n *Node) renew(epoch uint64) {
+	n.cfg.Epoch, n.inc, n.displaced = epoch, 0, false
+	n.self = n.spread()
+	n.out = append(n.out, Action{Change: &Change{Epoch: epoch}})
+}
+
 // meet adds a peer.
 func (n *Node) meet(c *Claim) {
 	if c.State == Failed && Time(c.Age)*time.Second > n.cfg.Keep || c.State == Left && Time(c.Age)*time.Second > leftKeep {
@@ -712,7 +733,7 @@
 	if p.suspected == 0 || p.State != Suspect || len(p.wits) <= 1 {
 		p.suspected = n.now
 	}
-	least := suspectTimes * math.Max(1, math.Log10(float64(len(n.peers)+1))) * float64(period) * float64(1+n.doubt)
+	least := suspectTimes * math.Max(1, math.Log10(float64(len(n.peers)+1))) * float64(period)
 	most := suspectMost * least
 	k := math.Min(1, math.Log(float64(len(p.wits)))/math.Log(witnesses))
 	if p.Gone {
@@ -772,9 +793,11 @@
 // retry says hello to failed peers, and to seeds that no live peer has the address of, drawn at random.
 func (n *Node) retry(k int) {
 	var addrs []string
+	names := map[string]string{}
 	live := map[string]bool{n.cfg.Addr: true}
 	for _, name := range n.order {
 		p := n.peers[name]
+		names[p.Addr] = name
 		if p.State == Failed && p.Addr != "" {
 			addrs = append(addrs, p.Addr)
 		} else if p.State != Left && !n.displaced {
@@ -785,14 +808,19 @@
 		}
 	}
 	for _, s := range n.seeds {
-		if !live[s] && !slices.Contains(addrs, s) {
+		p := n.peers[n.owners[s]]
+		if !live[s] && !slices.Contains(addrs, s) && (p == nil || p.State != Alive) && n.owners[s] != n.cfg.Name {
 			addrs = append(addrs, s)
 		}
 	}
 	n.rng.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
 	for _, a := range addrs[:min(k, len(addrs))] {
 		n.seq++
-		n.send(a, &Message{Kind: Hello, Seq: n.seq})
+		if len(n.greeted) >= greetedMost {
+			clear(n.greeted)
+		}
+		n.greeted[n.seq] = a
+		n.act(Action{To: a, Name: names[a], Message: &Message{Kind: Hello, Seq: n.seq}})
 	}
 }
 
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -150,7 +150,7 @@
 		in = &t.own
 	}
 	in.all++
-	if p.State == swim.Alive || p.State == swim.Suspect {
+	if p.State == swim.Alive { // a suspect may be there, but is not reached
 		in.here++
 	}
 }
--- a/internal/gateway/edge.go
+++ b/internal/gateway/edge.go
@@ -12,6 +12,8 @@
 	"reachwind/internal/call"
 	"reachwind/internal/core"
 	"reachwind/internal/edgeconf"
+	"reachwind/internal/fleet"
+	"reachwind/internal/fleet/swim"
 	"reachwind/internal/logship"
 	"reachwind/internal/pgwire"
 	"reachwind/internal/restfront"
@@ -21,6 +23,7 @@
 type Edge struct {
 	Syslog *logship.Config
 	REST   *restfront.Config
+	Fleet  *fleet.Config
 }
 
 // LoadEdge reads the product configuration at path for a gateway. An error may hold many faults, see
@@ -49,6 +52,13 @@
 			r.Classes, r.Tenants, r.ComeBack = c.Decide.Classes, c.Decide.Tenants, c.Decide.MaxRetryAfter
 			e.REST = &r
 		})
+		b.Blocks("fleet", false, func(b *edgeconf.Block) {
+			f := fleet.Read(b)
+			if f.Name = c.Name; f.Name == "" || len(f.Name) > swim.NameMost {
+				b.Fault("the gateway's name is %q, want one of 1 to %d bytes", f.Name, swim.NameMost)
+			}
+			e.Fleet = &f
+		})
 	})
 	if err != nil {
 		return nil, err
@@ -86,6 +96,10 @@
 		memory, files := e.REST.Footprint()
 		b.Parts, b.Files = b.Parts+memory, b.Files+files
 	}
+	if e.Fleet != nil {
+		memory, files := e.Fleet.Footprint()
+		b.Parts, b.Files = b.Parts+memory, b.Files+files
+	}
 	b.Sockets = max(leastSockets, c.sockets-b.Files)
 	b.Clients, b.Members = int(clientPart*float64(b.Sockets)), int(memberPart*float64(b.Sockets))
 	b.Buffers = max(buffersLeast, int(bufferPart*float64(max(0, memory-b.Parts)))/pgwire.BufSize)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,8 +61,9 @@
 	Edge    string // of the product configuration; empty: none, and no part of it runs
 	Version string
 	Log     *slog.Logger
-	Records *record.Handler // that Log goes through; takes the sink of records
-	Dial    pgmember.Dialer // to members and discovery; nil: TCP
+	Records *record.Handler  // that Log goes through; takes the sink of records
+	Dial    pgmember.Dialer  // to members and discovery; nil: TCP
+	Wall    func() time.Time // nil: the system's; another one only in laboratories, where clocks are set apart
 }
 
 // Serve runs the gateway until SIGTERM or SIGINT, then winds it down. SIGHUP has
@@ -135,7 +136,19 @@
 	if err == nil && g.o.Edge != "" {
 		var edge *Edge
 		if edge, err = LoadEdge(g.o.Edge, g.c); err == nil {
+			running := map[string]bool{}
 			for _, p := range g.parts {
+				running[p.name] = true
+			}
+			for name, wanted := range map[string]bool{"syslog": edge.Syslog != nil, "rest": edge.REST != nil, "fleet": edge.Fleet != nil} {
+				if wanted && !running[name] {
+					err = fmt.Errorf("%s: %w", name, errRestart)
+				}
+			}
+			for _, p := range g.parts {
+				if err != nil {
+					break
+				}
 				f, e := p.prepare(edge)
 				if err = e; err != nil {
 					err = fmt.Errorf("%s: %w", p.name, err)
@@ -211,6 +224,14 @@
 		}
 		g.parts = append(g.parts, p)
 	}
+	if edge.Fleet != nil {
+		p, err := startFleet(edge.Fleet, g, share.Buffers)
+		if err != nil {
+			g.stop()
+			return nil, fmt.Errorf("fleet: %w", err)
+		}
+		g.parts = append(g.parts, p)
+	}
 	owner.List(decide.ListSaved, c.Known)
 	g.front = pgfront.New(owner, pgfront.Config{Classes: c.Decide.Classes, Tenants: c.Decide.Tenants,
 		Max: share.Clients, Spare: int(sparePart * float64(share.Sockets)),
--- a/internal/lab/proc/proc.go
+++ b/internal/lab/proc/proc.go
@@ -56,13 +56,13 @@
 }
 
 // Start starts a gateway with a configuration that it writes into dir, and an edge configuration unless that
-// is empty, and waits until it serves.
-func Start(binary, dir string, config []byte, edge string) (*Gateway, error) {
+// is empty, and further arguments, and waits until it serves.
+func Start(binary, dir string, config []byte, edge string, more ...string) (*Gateway, error) {
 	path := filepath.Join(dir, "config.json")
 	if err := os.WriteFile(path, config, 0o600); err != nil {
 		return nil, err
 	}
-	args := []string{"serve", "--config", path}
+	args := append([]string{"serve", "--config", path}, more...)
 	if edge != "" {
 		file := filepath.Join(dir, "edge.hcl")
 		if err := os.WriteFile(file, []byte(edge), 0o600); err != nil {
--- /dev/null
+++ b/internal/lab/rig/rig.go
@@ -0,0 +1,464 @@
+package rig
+
+import (
+	"bufio"
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"reachwind/internal/fleet"
+	"reachwind/internal/lab/proc"
+	"reachwind/internal/standin/cluster"
+)
+
+// Config is what a rig is made of.
+type Config struct {
+	Binary string
+	Dir    string // for all files; who made it removes it
+	Zones  []string
+	Size   int
+	Seeds  int // the first so many are seeds of all
+	Seed   uint64
+	Bytes  string // bytes_per_second, empty: as usual
+	Cost   bool   // no relays: processes reach each other directly
+}
+
+// Node is one gateway's process and its place.
+type Node struct {
+	Name, Zone string
+	Listen     string // where its group's sockets are
+	Admin      string
+	Dir        string
+	P          *proc.Gateway // nil while it is down
+	Offset     time.Duration // of its wall clock
+
+	rig    *Rig
+	routes map[string]string // relays to others, by name
+	seeds  []string
+	keys   string
+	starts int
+}
+
+// Rig is a group of processes.
+type Rig struct {
+	conf    Config
+	Cluster *cluster.Cluster
+	Nodes   []*Node
+	links   map[[2]string]*atomic.Pointer[Link]
+	relays  []*relay
+	Passed  atomic.Int64 // bytes that relays passed on
+	began   time.Time
+	mu      sync.Mutex
+	Acts    []Act // what the rig did, for the merged timeline
+}
+
+// Act is something that the rig did.
+type Act struct {
+	At   time.Time
+	What string
+}
+
+// New makes the cluster, the relays and the files, and starts no gateway yet.
+func New(c Config) (*Rig, error) {
+	if len(c.Zones) == 0 {
+		c.Zones = []string{"a"}
+	}
+	r := &Rig{conf: c, links: map[[2]string]*atomic.Pointer[Link]{}, began: time.Now()}
+	var err error
+	if r.Cluster, err = cluster.Start(cluster.Config{Groups: 2, Replicas: 2, Lag: 10 * time.Millisecond, Elect: time.Second}); err != nil {
+		return nil, err
+	}
+	ports, err := freePorts(2 * c.Size)
+	if err != nil {
+		r.Close()
+		return nil, err
+	}
+	key, err := NewKey()
+	if err != nil {
+		return nil, err
+	}
+	for i := range c.Size {
+		n := &Node{Name: fmt.Sprintf("gw-%02d", i), Zone: c.Zones[i%len(c.Zones)], Listen: ports[2*i], Admin: ports[2*i+1], rig: r, routes: map[string]string{}, keys: key}
+		n.Dir = filepath.Join(c.Dir, n.Name)
+		if err := os.MkdirAll(n.Dir, 0o700); err != nil {
+			r.Close()
+			return nil, err
+		}
+		r.Nodes = append(r.Nodes, n)
+	}
+	for _, a := range r.Nodes {
+		for _, b := range r.Nodes {
+			p := new(atomic.Pointer[Link])
+			p.Store(&Link{})
+			r.links[[2]string{a.Name, b.Name}] = p
+		}
+	}
+	for i, a := range r.Nodes {
+		for j, b := range r.Nodes {
+			if a == b {
+				continue
+			}
+			to := b.Listen
+			if !c.Cost {
+				l, err := newRelay(b.Listen, r.links[[2]string{a.Name, b.Name}], r.links[[2]string{b.Name, a.Name}], &r.Passed, c.Seed+uint64(i*c.Size+j))
+				if err != nil {
+					r.Close()
+					return nil, err
+				}
+				r.relays = append(r.relays, l)
+				to = l.addr
+				a.routes[b.Name] = to
+			}
+			if j < max(1, c.Seeds) {
+				a.seeds = append(a.seeds, to)
+			}
+		}
+	}
+	return r, nil
+}
+
+// NewKey is a line for a key file.
+func NewKey() (string, error) {
+	key := make([]byte, 32)
+	_, err := rand.Read(key)
+	return base64.StdEncoding.EncodeToString(key) + "\n", err
+}
+
+// freePorts are loopback addresses that were free a moment ago.
+func freePorts(n int) (addrs []string, err error) {
+	var held []net.Listener
+	for range n {
+		l, e := net.Listen("tcp", "127.0.0.1:0")
+		if e != nil {
+			err = e
+			break
+		}
+		held = append(held, l)
+		addrs = append(addrs, l.Addr().String())
+	}
+	for _, l := range held {
+		_ = l.Close()
+	}
+	return addrs, err
+}
+
+func (r *Rig) note(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Acts = append(r.Acts, Act{time.Now(), fmt.Sprintf(format, args...)})
+}
+
+// Folder is where the node keeps its epoch.
+func (n *Node) Folder() string { return filepath.Join(n.Dir, "folder") }
+
+// Start starts the process.
+func (n *Node) Start() error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "fleet {\n  listen = %q\n  admin = %q\n  zone = %q\n  region = \"north\"\n  key_file = \"fleet.keys\"\n  folder = \"folder\"\n  events = \"events.jsonl\"\n", n.Listen, n.Admin, n.Zone)
+	fmt.Fprintf(&b, "  seeds = [%s]\n", quoted(n.seeds))
+	if n.rig.conf.Bytes != "" {
+		fmt.Fprintf(&b, "  bytes_per_second = %q\n", n.rig.conf.Bytes)
+	}
+	for _, name := range sorted(n.routes) {
+		fmt.Fprintf(&b, "  route %q { address = %q }\n", name, n.routes[name])
+	}
+	b.WriteString("}\n")
+	if err := os.WriteFile(filepath.Join(n.Dir, "fleet.keys"), []byte(n.keys), 0o600); err != nil {
+		return err
+	}
+	n.starts++
+	n.rig.note("start %s", n.Name)
+	p, err := proc.Start(n.rig.conf.Binary, n.Dir, n.rig.Cluster.GatewayConfig(n.Name, "127.0.0.1:0", 64, 512), b.String(), "--clock-offset", n.Offset.String())
+	if err != nil {
+		return fmt.Errorf("%s: %w", n.Name, err)
+	}
+	n.P = p
+	return nil
+}
+
+func quoted(list []string) string {
+	var q []string
+	for _, s := range list {
+		q = append(q, fmt.Sprintf("%q", s))
+	}
+	return strings.Join(q, ", ")
+}
+
+func sorted[V any](m map[string]V) (keys []string) {
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// StartAll starts all that are down, some at a time.
+func (r *Rig) StartAll() error {
+	const together = 8
+	errs := make(chan error, len(r.Nodes))
+	room := make(chan struct{}, together)
+	n := 0
+	for _, node := range r.Nodes {
+		if node.P != nil {
+			continue
+		}
+		n++
+		go func() {
+			room <- struct{}{}
+			defer func() { <-room }()
+			errs <- node.Start()
+		}()
+	}
+	var err error
+	for range n {
+		err = errors.Join(err, <-errs)
+	}
+	return err
+}
+
+// Kill ends the process at once.
+func (n *Node) Kill() {
+	if n.P != nil {
+		n.rig.note("kill %s", n.Name)
+		n.P.Kill()
+		n.P = nil
+	}
+}
+
+// Stop ends the process in order.
+func (n *Node) Stop() error {
+	if n.P == nil {
+		return nil
+	}
+	n.rig.note("stop %s", n.Name)
+	err := n.P.Stop(10 * time.Second)
+	n.P = nil
+	return err
+}
+
+// Pause stops the process, or has it go on.
+func (n *Node) Pause(yes bool) {
+	if n.P == nil {
+		return
+	}
+	n.rig.note("pause %s %v", n.Name, yes)
+	if yes {
+		n.P.Signal(syscall.SIGSTOP)
+	} else {
+		n.P.Signal(syscall.SIGCONT)
+	}
+}
+
+// SetKeys writes other keys and has the process read them.
+func (n *Node) SetKeys(keys string) error {
+	n.keys = keys
+	if err := os.WriteFile(filepath.Join(n.Dir, "fleet.keys"), []byte(keys), 0o600); err != nil {
+		return err
+	}
+	if n.P != nil {
+		n.rig.note("other keys at %s", n.Name)
+		n.P.Signal(syscall.SIGHUP)
+	}
+	return nil
+}
+
+// SetSeeds has the process started with other seeds the next time.
+func (n *Node) SetSeeds(seeds []string) { n.seeds = seeds }
+
+// Set sets the link from one node to another.
+func (r *Rig) Set(from, to *Node, l Link) { r.links[[2]string{from.Name, to.Name}].Store(&l) }
+
+// Cut cuts all links, one way, for which where says so.
+func (r *Rig) Cut(what string, where func(from, to *Node) bool) {
+	r.note("cut: %s", what)
+	for _, a := range r.Nodes {
+		for _, b := range r.Nodes {
+			if a != b && where(a, b) {
+				r.Set(a, b, Link{Cut: true})
+			}
+		}
+	}
+}
+
+// Heal makes all links whole.
+func (r *Rig) Heal() {
+	r.note("heal")
+	for _, p := range r.links {
+		p.Store(&Link{})
+	}
+}
+
+// Close ends everything.
+func (r *Rig) Close() {
+	for _, n := range r.Nodes {
+		if n.P != nil {
+			n.P.Signal(syscall.SIGCONT)
+			n.P.Kill()
+			n.P = nil
+		}
+	}
+	for _, l := range r.relays {
+		l.close()
+	}
+	if r.Cluster != nil {
+		r.Cluster.Close()
+	}
+}
+
+// What processes say.
+
+var client = &http.Client{Timeout: 2 * time.Second}
+
+func (n *Node) get(path string, v any) error {
+	res, err := client.Get("http://" + n.Admin + path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: status %d", n.Name, res.StatusCode)
+	}
+	return json.NewDecoder(res.Body).Decode(v)
+}
+
+// Members is what a node answers.
+func (n *Node) Members() (all []fleet.Member, err error) { return all, n.get("/v1/members", &all) }
+
+// View is what a node answers.
+func (n *Node) View() (v fleet.View, err error) { return v, n.get("/v1/view", &v) }
+
+// Up are the nodes whose processes run.
+func (r *Rig) Up() (up []*Node) {
+	for _, n := range r.Nodes {
+		if n.P != nil {
+			up = append(up, n)
+		}
+	}
+	return up
+}
+
+// Common tells whether all of some nodes hold one view, in which exactly they are alive; if not, what is amiss.
+func Common(of []*Node) error {
+	var names []string
+	for _, n := range of {
+		names = append(names, n.Name)
+	}
+	slices.Sort(names)
+	digest := ""
+	for _, n := range of {
+		all, err := n.Members()
+		if err != nil {
+			return err
+		}
+		var alive []string
+		for _, m := range all {
+			if m.State == "alive" {
+				alive = append(alive, m.Name)
+			}
+		}
+		if !slices.Equal(alive, names) {
+			return fmt.Errorf("%s takes %v for alive, up are %v", n.Name, alive, names)
+		}
+		v, err := n.View()
+		if err != nil {
+			return err
+		}
+		if digest == "" {
+			digest = v.Digest
+		}
+		if v.Digest != digest {
+			return fmt.Errorf("%s holds another view than %s", n.Name, of[0].Name)
+		}
+	}
+	return nil
+}
+
+// Verdicts tells whether all of some nodes have a verdict.
+func Verdicts(of []*Node, want string) error {
+	for _, n := range of {
+		v, err := n.View()
+		if err != nil {
+			return err
+		}
+		if v.Verdict != want {
+			return fmt.Errorf("%s: %s for %v, want %s", n.Name, v.Verdict, v.Reasons, want)
+		}
+	}
+	return nil
+}
+
+// Until waits until held says nil, for so long, and returns how long it took.
+func Until(within time.Duration, held func() error) (time.Duration, error) {
+	begin := time.Now()
+	for {
+		err := held()
+		if took := time.Since(begin); err == nil || took > within {
+			return took, err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// Events are what a node wrote over all its starts, in its own order.
+func (n *Node) Events() (all []fleet.Event, err error) {
+	f, err := os.Open(filepath.Join(n.Dir, "events.jsonl"))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = f.Close() }()
+	s := bufio.NewScanner(f)
+	s.Buffer(nil, 1<<20)
+	for s.Scan() {
+		var e fleet.Event
+		if err := json.Unmarshal(s.Bytes(), &e); err != nil {
+			break // the last line of a process that was killed
+		}
+		all = append(all, e)
+	}
+	return all, nil
+}
+
+// Timeline merges what all processes wrote with what the rig did, by their wall clocks less the offsets that the rig
+// gave them, and adds the end of each log.
+func (r *Rig) Timeline() string {
+	type line struct {
+		at   time.Time
+		text string
+	}
+	var lines []line
+	for _, a := range r.Acts {
+		lines = append(lines, line{a.At, "rig: " + a.What})
+	}
+	for _, n := range r.Nodes {
+		all, _ := n.Events()
+		for _, e := range all {
+			at := time.Unix(0, e.Wall).Add(-n.Offset)
+			lines = append(lines, line{at, fmt.Sprintf("%s/%d #%d %s %s %s->%s %v", e.Name, e.Epoch, e.Number, e.Kind, e.Peer, e.Was, e.State, e.Reasons)})
+		}
+	}
+	sort.SliceStable(lines, func(i, j int) bool { return lines[i].at.Before(lines[j].at) })
+	var b strings.Builder
+	for _, l := range lines {
+		fmt.Fprintf(&b, "%9.3f %s\n", l.at.Sub(r.began).Seconds(), l.text)
+	}
+	for _, n := range r.Nodes {
+		if n.P != nil {
+			log := n.P.Log()
+			fmt.Fprintf(&b, "--- log of %s\n%s", n.Name, log[max(0, len(log)-4000):])
+		}
+	}
+	return b.String()
+}
