--- a/cmd/windlab/run.go
+++ b/cmd/windlab/run.go
@@ -32,6 +32,8 @@
 	"syslog-surge": {"latency and accounts with collectors healthy, stopped and stalled, through a surge", syslogSurge},
 	"spool-kill":   {"SIGKILL while the spool is written, thousands of times", spoolKill},
 	"keys":         {"certificates change each second under load", keyChange},
+	"guards":       {"each guard of the group switched off: which day misses it, in virtual time", guards},
+	"group-days":   {"drawn days of the group in virtual time", simdays},
 	"cost":         {"CPU a request and memory, without and with syslog, against an earlier build", cost},
 }
 
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -14,7 +14,7 @@
 	Number  uint64   `json:"n"`       // of this start, from 1
 	Mono    int64    `json:"mono_ns"` // since this start
 	Wall    int64    `json:"wall_ns"` // Unix time, by this process's clock
-	Kind    string   `json:"kind"`    // start, peer, verdict, paused, displaced, epoch, look, leave
+	Kind    string   `json:"kind"`    // start, peer, verdict, paused, displaced, epoch, look, member, leave
 	Peer    string   `json:"peer,omitempty"`
 	PeerOf  uint64   `json:"peer_epoch,omitempty"`
 	State   string   `json:"state,omitempty"`
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -170,6 +170,9 @@
 		case m := <-f.net.In():
 			f.carry(f.group.Step(f.now(), group.Event{Frame: m.Frame, Stream: m.Stream, Refused: m.Refused}))
 		case s := <-f.saw:
+			if !s.Quiet && !s.Looked {
+				f.event(Event{Kind: "member", Member: s.Member, State: s.Kind.String()})
+			}
 			f.carry(f.group.Step(f.now(), group.Event{Saw: &s}))
 		case ask := <-f.asks:
 			ask()
--- a/internal/fleet/share/share.go
+++ b/internal/fleet/share/share.go
@@ -68,6 +68,15 @@
 	GuardLend                     // claim 1: what is lent is not used
 )
 
+// Guards are all of them, with what each keeps.
+var Guards = []struct {
+	Guard Guard
+	Name  string
+}{
+	{GuardStart, "who starts does not use what it may have lent"}, {GuardTerm, "a loan ends, counted from its request"},
+	{GuardOnce, "a loan is taken once"}, {GuardMargin, "a lender waits for clocks that run apart"}, {GuardLend, "what is lent is not used"},
+}
+
 // Message asks for a part of a budget, or lends one.
 type Message struct {
 	_      struct{} `cbor:",toarray"`
--- a/internal/fleet/swim/swim.go
+++ b/internal/fleet/swim/swim.go
@@ -68,6 +68,18 @@
 	GuardAddress                   // what is addressed to another start of this process is dropped
 )
 
+// Guards are all of them, with what each keeps.
+var Guards = []struct {
+	Guard Guard
+	Name  string
+}{
+	{GuardPause, "own pauses are not held against others"}, {GuardRefute, "who is alive denies what is said of it"},
+	{GuardEpoch, "what an older start of a peer sends is dropped, and it is told"}, {GuardAsk, "others are asked before a peer is suspected"},
+	{GuardBuddy, "a suspect is told in the ping itself"}, {GuardJump, "incarnations out of reach are refused"},
+	{GuardRetry, "failed peers and seeds are tried again"}, {GuardYield, "a name is yielded to a later start that is alive"},
+	{GuardAddress, "what is addressed to another start is dropped"},
+}
+
 // Config is what a node is told.
 type Config struct {
 	Name, Addr, Zone string
--- a/internal/lab/rig/relay.go
+++ b/internal/lab/rig/relay.go
@@ -44,6 +44,19 @@
 	closed atomic.Bool
 	passed *atomic.Int64 // bytes
 	freeAt time.Time     // of a link with a bandwidth
+	tape   [][]byte      // the last datagrams
+}
+
+const tapeMost = 32
+
+// record keeps a datagram for those who play it again.
+func (r *relay) record(b []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.tape) >= tapeMost {
+		r.tape = r.tape[1:]
+	}
+	r.tape = append(r.tape, append([]byte(nil), b...))
 }
 
 const relayDelayed = 4096 // datagrams that are under way at once; more are lost
@@ -98,6 +111,7 @@
 		if err != nil {
 			continue
 		}
+		r.record(buf[:n])
 		l := *r.there.Load()
 		if l.Cut || r.rng.Float64() < l.Loss {
 			continue
