--- a/cmd/reachwind/main_test.go
+++ b/cmd/reachwind/main_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -14,6 +16,7 @@
 	"testing"
 	"time"
 
+	"reachwind/internal/fleet/view"
 	"reachwind/internal/gateway"
 	"reachwind/internal/pgwire"
 	"reachwind/internal/spool"
@@ -273,3 +276,26 @@
 type writerFunc func(p []byte) (int, error)
 
 func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
+
+// TestFleetCommands: the table comes from the code that decides; a gateway that can't be asked is exit 69.
+func TestFleetCommands(t *testing.T) {
+	var out strings.Builder
+	if err := command([]string{"fleet", "rules", "--json"}, &out, io.Discard); err != nil {
+		t.Fatal(err)
+	}
+	var rules []view.Rule
+	if err := json.Unmarshal([]byte(out.String()), &rules); err != nil || len(rules) != 9*len(view.Acts) {
+		t.Fatalf("%d rules, %v", len(rules), err)
+	}
+	for _, r := range rules { // whatever is cut, every gateway serves; nobody borrows or drains towards who is cut off
+		if strings.HasPrefix(r.Act, "serve") && !r.Allowed || (r.Act == "start a drain" || r.Act == "take larger budgets") && r.Allowed && r.Mine != "whole" {
+			t.Errorf("%+v", r)
+		}
+	}
+	for _, args := range [][]string{{"fleet", "view", "--admin", "127.0.0.1:1"}, {"fleet", "members"}} {
+		var e exitError
+		if err := command(args, io.Discard, io.Discard); !errors.As(err, &e) || e.code != 69 || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%v: %v", args, err)
+		}
+	}
+}
