Send cold members three quarters of what the rule allows, in place of half

Cause: coldShare, the part of the stated multiple that coldRoom lets all gateways together send.

Change: coldShare 0.5 to 0.75.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -77,7 +77,7 @@
 	askWait, askTimes = 30 * time.Millisecond, 2 // a read waits so long for a probe of its own, at most so often
 
 	demandFade = 0.995 // a request, of the work asked for: over about two hundred
-	coldShare  = 0.5   // part of the stated multiple used on a cold member, the rest for error
+	coldShare  = 0.75  // part of the stated multiple used on a cold member, the rest for error
 
 	askFirst, askMost = 500 * time.Millisecond, 2 * time.Second // failed asks come again, at doubling spans,
 
