--- /dev/null
+++ b/cmd/reachwind-council/main.go
@@ -0,0 +1,45 @@
+// Command reachwind-council is one voter of the fleet's council. It is a program of
+// its own, as consensus and its storage would cost each gateway memory; `reachwind
+// council` starts it.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"reachwind/internal/fleet/council"
+)
+
+func main() {
+	var path, level string
+	root := &cobra.Command{Use: "reachwind-council", Short: "one voter of the fleet's council", Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if path == "" {
+				return errors.New("no configuration: use --config")
+			}
+			conf, err := council.Load(path)
+			if err != nil {
+				return err
+			}
+			var least slog.Level
+			if err := least.UnmarshalText([]byte(level)); err != nil {
+				return fmt.Errorf("log-level: %w", err)
+			}
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+			defer stop()
+			return council.Run(ctx, *conf, slog.New(slog.NewTextHandler(c.ErrOrStderr(), &slog.HandlerOptions{Level: least})))
+		}}
+	root.Flags().StringVarP(&path, "config", "c", "", "configuration `file`")
+	root.Flags().StringVar(&level, "log-level", "info", "least `level` logged: debug, info, warn or error")
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "reachwind-council:", err)
+		os.Exit(1)
+	}
+}
--- a/cmd/reachwind/main.go
+++ b/cmd/reachwind/main.go
@@ -81,7 +81,7 @@
 		RunE: func(c *cobra.Command, _ []string) error { return check(c.OutOrStdout(), path, edge) }})
 	root.AddCommand(&cobra.Command{Use: "version", Short: "print the version", Args: cobra.NoArgs,
 		Run: func(c *cobra.Command, _ []string) { _, _ = fmt.Fprintln(c.OutOrStdout(), "reachwind", version) }})
-	root.AddCommand(spoolCommand(), fleetCommand())
+	root.AddCommand(spoolCommand(), fleetCommand(), councilCommand())
 	return root
 }
 
--- /dev/null
+++ b/internal/fleet/council/config.go
@@ -0,0 +1,94 @@
+package council
+
+import (
+	"net"
+	"slices"
+
+	"reachwind/internal/edgeconf"
+	"reachwind/internal/fleet/peers"
+	"reachwind/internal/fleet/swim"
+)
+
+// Config is the council block, read and checked.
+type Config struct {
+	Name    string
+	Listen  string
+	Admin   string
+	Folder  string
+	KeyFile string
+	Keys    *peers.Keys
+	Voters  map[string]string // addresses by name, this one among them
+}
+
+// Bounds of a council.
+const (
+	VotersLeast = 1 // one is for trying things out: nothing is left when it is gone
+	VotersMost  = 7
+)
+
+// Load reads a voter's configuration.
+func Load(path string) (c *Config, err error) {
+	err = edgeconf.Load(path, func(b *edgeconf.Block) {
+		b.Blocks("council", false, func(b *edgeconf.Block) {
+			read := Read(b)
+			c = &read
+		})
+		if c == nil {
+			b.Fault("no block council, want one")
+		}
+	})
+	return c, err
+}
+
+// Read reads a council block. Faults are the block's.
+func Read(b *edgeconf.Block) Config {
+	c := Config{Name: b.Text("name", ""), Listen: b.Text("listen", ""), Admin: b.Text("admin", ""), Folder: b.File("folder"), KeyFile: b.File("key_file"),
+		Voters: map[string]string{}}
+	address := func(in *edgeconf.Block, name, value string) {
+		if _, port, err := net.SplitHostPort(value); err != nil || port == "" {
+			in.FaultAt(name, "%s is %q, want host:port", name, value)
+		}
+	}
+	address(b, "listen", c.Listen)
+	address(b, "admin", c.Admin)
+	if host, _, err := net.SplitHostPort(c.Admin); err == nil && host != "localhost" {
+		if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+			b.FaultAt("admin", "admin is %q, want a loopback address", c.Admin)
+		}
+	}
+	b.Blocks("voter", true, func(v *edgeconf.Block) {
+		at := v.Text("address", "")
+		address(v, "address", at)
+		if len(v.Label) > swim.NameMost {
+			v.Fault("a name of %d bytes, want at most %d", len(v.Label), swim.NameMost)
+		}
+		c.Voters[v.Label] = at
+	})
+	if _, ok := c.Voters[c.Name]; !ok {
+		b.FaultAt("name", "name is %q, want that of one of the voters", c.Name)
+	}
+	if n := len(c.Voters); n < VotersLeast || n > VotersMost || n%2 == 0 {
+		b.Fault("%d voters, want 3, 5 or 7 (1 to try things out)", n)
+	}
+	if c.Folder == "" {
+		b.Fault("no folder, want one that lasts")
+	}
+	if c.KeyFile == "" {
+		b.Fault("no key_file, want a file with a base64 key of 32 bytes a line")
+	} else {
+		var err error
+		if c.Keys, err = peers.ReadKeys(c.KeyFile); err != nil {
+			b.FaultAt("key_file", "%v", err)
+		}
+	}
+	return c
+}
+
+// names are the voters' names in their order; a voter's number is its place from 1.
+func (c *Config) names() (names []string) {
+	for n := range c.Voters {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/fleet/council/node.go
@@ -0,0 +1,293 @@
+// Package council keeps the agreed state on three to seven voters: consensus by
+// go.etcd.io/raft, storage of its log and of snapshots, and the way in for those
+// who ask. Gateways are no voters and serve without it.
+package council
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+
+	"reachwind/internal/fleet/agreed"
+)
+
+// Time is a point on the owner's monotonic clock, or a span on it.
+type Time = time.Duration
+
+const (
+	tick          = 100 * time.Millisecond
+	electionTicks = 10
+	inflightMost  = 64
+	messageMost   = 256 << 10
+	uncommitted   = 4 << 20                // bytes of commands that wait for a majority; more are refused
+	snapshotEvery = 1000                   // commands
+	keepBehind    = 200                    // entries kept before a snapshot, for those who are a little behind
+	timeEvery     = 500 * time.Millisecond // council time is told so often while permits run
+)
+
+// NodeConfig is what a node is told.
+type NodeConfig struct {
+	ID     uint64
+	Voters []uint64
+	Log    *slog.Logger
+	Off    agreed.Guard // for checkers only
+}
+
+// Saved is what a node must find again after a start.
+type Saved struct {
+	Hard     raftpb.HardState
+	Entries  []raftpb.Entry
+	Snapshot raftpb.Snapshot // empty: none
+	Applied  uint64          // not needed: what is committed is applied again from the snapshot on
+}
+
+// Ready is what must be done, in this order: Save must be on disk before Messages go out.
+type Ready struct {
+	Save     Saved
+	Sync     bool // Save must be synced
+	Messages []raftpb.Message
+	Results  []Done
+	Fatal    error // this program can't do what was agreed: it must stop
+	ready    raft.Ready
+}
+
+// Done is the result of a command that this node took.
+type Done struct {
+	Ticket uint64
+	Result agreed.Result
+	Err    error
+}
+
+// ErrNotLeader is returned to a command that came to a node which does not lead, or lost the lead meanwhile: it may
+// have been done, and the same client may send it again under the same number.
+var ErrNotLeader = errors.New("council: not the leader")
+
+// Node is one voter without disk, net and clock: time and messages go in, Ready comes out. It is its owner's alone.
+type Node struct {
+	cfg     NodeConfig
+	raw     *raft.RawNode
+	mem     *raft.MemoryStorage
+	Machine *agreed.Machine
+
+	now     Time
+	ticked  Time
+	timeAt  Time
+	base    int64 // council time when this node began to lead
+	lead    Time
+	leading bool
+	snapped uint64
+	conf    raftpb.ConfState
+	tickets map[uint64]waiting
+	last    uint64
+	reads   map[uint64]func(error)
+}
+
+// waiting is a command that was proposed and is not known to be done.
+type waiting struct {
+	client string
+	number uint64
+	term   uint64
+}
+
+// NewNode returns a node that goes on from what was saved; saved is empty for the first start of all.
+func NewNode(c NodeConfig, s Saved, now Time) (*Node, error) {
+	n := &Node{cfg: c, mem: raft.NewMemoryStorage(), Machine: agreed.New(c.Off), now: now, ticked: now, tickets: map[uint64]waiting{}}
+	n.conf = raftpb.ConfState{Voters: c.Voters}
+	if !raft.IsEmptySnap(s.Snapshot) {
+		if err := n.mem.ApplySnapshot(s.Snapshot); err != nil {
+			return nil, err
+		}
+		if err := n.Machine.Restore(s.Snapshot.Data); err != nil {
+			return nil, err
+		}
+		n.conf, n.snapped = s.Snapshot.Metadata.ConfState, s.Snapshot.Metadata.Index
+	} else { // all begin with the same voters, as if a snapshot had said so
+		first := raftpb.Snapshot{Metadata: raftpb.SnapshotMetadata{ConfState: n.conf, Index: 1, Term: 1}, Data: n.Machine.Snapshot()}
+		if err := n.mem.ApplySnapshot(first); err != nil {
+			return nil, err
+		}
+		n.snapped = 1
+	}
+	if err := n.mem.Append(s.Entries); err != nil {
+		return nil, err
+	}
+	if !raft.IsEmptyHardState(s.Hard) {
+		if err := n.mem.SetHardState(s.Hard); err != nil {
+			return nil, err
+		}
+	} else if err := n.mem.SetHardState(raftpb.HardState{Term: 1, Commit: n.snapped}); err != nil {
+		return nil, err
+	}
+	var err error
+	n.raw, err = raft.NewRawNode(&raft.Config{ID: c.ID, ElectionTick: electionTicks, HeartbeatTick: 1, Storage: n.mem, Applied: n.snapped,
+		MaxSizePerMsg: messageMost, MaxInflightMsgs: inflightMost, MaxUncommittedEntriesSize: uncommitted, CheckQuorum: true, PreVote: true,
+		ReadOnlyOption: raft.ReadOnlySafe, Logger: quiet{c.Log}, DisableProposalForwarding: true})
+	return n, err
+}
+
+// Tick passes time. It is to be called each 100 ms; after a pause the ticks that were missed are not made up for, so
+// that a voter that was stopped asks before it acts.
+func (n *Node) Tick(now Time) {
+	n.now = now
+	if now-n.ticked < tick {
+		return
+	}
+	n.ticked = now
+	n.raw.Tick()
+	if n.leading && now >= n.timeAt && len(n.Machine.Permits()) > 0 {
+		n.timeAt = now + timeEvery
+		_ = n.propose(&agreed.Command{Op: agreed.Tick}) // a leader that is not heard loses its lead soon
+	}
+}
+
+// Receive takes a message of another voter.
+func (n *Node) Receive(now Time, m raftpb.Message) {
+	n.now = now
+	if m.To == n.cfg.ID && !raft.IsLocalMsg(m.Type) {
+		_ = n.raw.Step(m) // what does not fit the term is dropped there
+	}
+}
+
+// councilTime is the leader's: it goes on from the agreed one as its own clock runs.
+func (n *Node) councilTime() int64 { return n.base + (n.now - n.lead).Milliseconds() }
+
+func (n *Node) propose(c *agreed.Command) error {
+	c.Form, c.At = agreed.Form, n.councilTime()
+	return n.raw.Propose(c.Encode())
+}
+
+// Propose takes a command and returns a ticket by which its result will come.
+func (n *Node) Propose(now Time, c *agreed.Command) (uint64, error) {
+	n.now = now
+	if !n.leading {
+		return 0, ErrNotLeader
+	}
+	if err := n.propose(c); err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrNotLeader, err)
+	}
+	n.last++
+	n.tickets[n.last] = waiting{c.Client, c.Number, n.raw.BasicStatus().Term}
+	return n.last, nil
+}
+
+// Leader is the leader as this node knows it, 0 = none, and whether it is this node, able to take commands.
+func (n *Node) Leader() (id uint64, leading bool) { return n.raw.BasicStatus().Lead, n.leading }
+
+// Term is the current term.
+func (n *Node) Term() uint64 { return n.raw.BasicStatus().Term }
+
+// Campaign is for checkers.
+func (n *Node) Campaign() { _ = n.raw.Campaign() }
+
+// Ready returns what must be done, and false if nothing. Done must follow.
+func (n *Node) Ready() (r Ready, ok bool) {
+	if !n.raw.HasReady() {
+		return r, false
+	}
+	rd := n.raw.Ready()
+	return Ready{Save: Saved{Hard: rd.HardState, Entries: rd.Entries, Snapshot: rd.Snapshot}, Sync: rd.MustSync || !raft.IsEmptySnap(rd.Snapshot),
+		Messages: rd.Messages, ready: rd}, true
+}
+
+// Done goes on after what Ready returned is saved, and fills in results. snapshot is not empty where the log can be
+// cut off there: it must be saved before the entries go.
+func (n *Node) Done(r *Ready) (snapshot raftpb.Snapshot) {
+	rd := &r.ready
+	if !raft.IsEmptySnap(rd.Snapshot) {
+		if err := n.mem.ApplySnapshot(rd.Snapshot); err == nil {
+			if err := n.Machine.Restore(rd.Snapshot.Data); err != nil {
+				r.Fatal = err
+				return snapshot
+			}
+			n.conf, n.snapped = rd.Snapshot.Metadata.ConfState, rd.Snapshot.Metadata.Index
+		}
+	}
+	if !raft.IsEmptyHardState(rd.HardState) {
+		_ = n.mem.SetHardState(rd.HardState)
+	}
+	if err := n.mem.Append(rd.Entries); err != nil {
+		r.Fatal = err
+		return snapshot
+	}
+	for i := range rd.CommittedEntries {
+		if err := n.apply(&rd.CommittedEntries[i], r); err != nil {
+			r.Fatal = err
+			return snapshot
+		}
+	}
+	n.raw.Advance(*rd)
+	n.watch(r)
+	if at := n.Machine.Index(); at >= n.snapped+snapshotEvery {
+		snap, err := n.mem.CreateSnapshot(at, &n.conf, n.Machine.Snapshot())
+		if err == nil {
+			n.snapped = at
+			_ = n.mem.Compact(at - keepBehind)
+			snapshot = snap
+		}
+	}
+	return snapshot
+}
+
+func (n *Node) apply(e *raftpb.Entry, r *Ready) error {
+	if e.Type != raftpb.EntryNormal || len(e.Data) == 0 {
+		return nil // a leader's first; voters do not change by this form of the log
+	}
+	c, err := agreed.Decode(e.Data)
+	if err != nil {
+		return fmt.Errorf("entry %d: %w", e.Index, err)
+	}
+	res := n.Machine.Apply(e.Index, c)
+	if c.Client == "" {
+		return nil
+	}
+	for t, w := range n.tickets {
+		if w.client == c.Client && w.number == c.Number {
+			r.Results = append(r.Results, Done{Ticket: t, Result: res})
+			delete(n.tickets, t)
+		}
+	}
+	return nil
+}
+
+// watch follows whether this node leads. It does once it has applied something of its own term, as only then it knows
+// all that was agreed before.
+func (n *Node) watch(r *Ready) {
+	s := n.raw.BasicStatus()
+	leads := s.RaftState == raft.StateLeader
+	if leads {
+		term, err := n.mem.Term(s.Applied)
+		leads = err == nil && term == s.Term
+	}
+	if leads && !n.leading {
+		n.base, n.lead, n.timeAt = n.Machine.Time(), n.now, n.now
+	}
+	n.leading = leads
+	for t, w := range n.tickets {
+		if !leads || w.term != s.Term {
+			r.Results = append(r.Results, Done{Ticket: t, Err: ErrNotLeader})
+			delete(n.tickets, t)
+		}
+	}
+}
+
+// quiet passes raft's own lines on at debug, as what matters is told in words of ours.
+type quiet struct{ log *slog.Logger }
+
+func (q quiet) say(v ...any)                { q.log.Debug("raft", "line", fmt.Sprint(v...)) }
+func (q quiet) sayf(f string, v ...any)     { q.log.Debug("raft", "line", fmt.Sprintf(f, v...)) }
+func (q quiet) Debug(v ...any)              {}
+func (q quiet) Debugf(string, ...any)       {}
+func (q quiet) Info(v ...any)               { q.say(v...) }
+func (q quiet) Infof(f string, v ...any)    { q.sayf(f, v...) }
+func (q quiet) Warning(v ...any)            { q.say(v...) }
+func (q quiet) Warningf(f string, v ...any) { q.sayf(f, v...) }
+func (q quiet) Error(v ...any)              { q.say(v...) }
+func (q quiet) Errorf(f string, v ...any)   { q.sayf(f, v...) }
+func (q quiet) Fatal(v ...any)              { panic(fmt.Sprint(v...)) }
+func (q quiet) Fatalf(f string, v ...any)   { panic(fmt.Sprintf(f, v...)) }
+func (q quiet) Panic(v ...any)              { panic(fmt.Sprint(v...)) }
+func (q quiet) Panicf(f string, v ...any)   { panic(fmt.Sprintf(f, v...)) }
--- /dev/null
+++ b/internal/lab/rig/council.go
@@ -0,0 +1,223 @@
+package rig
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"reachwind/internal/fleet/council"
+	"reachwind/internal/lab/proc"
+)
+
+// Seat is one voter's process and its place.
+type Seat struct {
+	Name, Listen, Admin, Dir string
+	P                        *proc.Gateway // nil while it is down
+
+	c      *Council
+	voters map[string]string // addresses as this one reaches them
+}
+
+// Council is a council of processes, with a relay between each ordered pair of them.
+type Council struct {
+	Seats  []*Seat
+	binary string
+	keys   string
+	links  map[[2]string]*atomic.Pointer[Link]
+	relays []*relay
+	passed atomic.Int64
+}
+
+// NewCouncil makes the files and relays of a council, and starts its voters.
+func NewCouncil(binary, dir string, size int, seed uint64) (*Council, error) {
+	ports, err := freePorts(2 * size)
+	if err != nil {
+		return nil, err
+	}
+	key, err := NewKey()
+	if err != nil {
+		return nil, err
+	}
+	c := &Council{binary: binary, keys: key, links: map[[2]string]*atomic.Pointer[Link]{}}
+	for i := range size {
+		s := &Seat{Name: fmt.Sprintf("c%d", i+1), Listen: ports[2*i], Admin: ports[2*i+1], c: c, voters: map[string]string{}}
+		s.Dir = filepath.Join(dir, s.Name)
+		if err := os.MkdirAll(s.Dir, 0o700); err != nil {
+			return nil, err
+		}
+		c.Seats = append(c.Seats, s)
+	}
+	for _, a := range c.Seats {
+		for _, b := range c.Seats {
+			p := new(atomic.Pointer[Link])
+			p.Store(&Link{})
+			c.links[[2]string{a.Name, b.Name}] = p
+		}
+	}
+	for i, a := range c.Seats {
+		for j, b := range c.Seats {
+			a.voters[b.Name] = b.Listen
+			if a == b {
+				continue
+			}
+			l, err := newRelay(b.Listen, c.links[[2]string{a.Name, b.Name}], c.links[[2]string{b.Name, a.Name}], &c.passed, seed+uint64(i*size+j))
+			if err != nil {
+				c.Close()
+				return nil, err
+			}
+			c.relays = append(c.relays, l)
+			a.voters[b.Name] = l.addr
+		}
+	}
+	for _, s := range c.Seats {
+		if err := s.Start(); err != nil {
+			c.Close()
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// Start starts the voter's process.
+func (s *Seat) Start() error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "council {\n  name = %q\n  listen = %q\n  admin = %q\n  folder = \"folder\"\n  key_file = \"fleet.keys\"\n", s.Name, s.Listen, s.Admin)
+	for _, name := range sorted(s.voters) {
+		fmt.Fprintf(&b, "  voter %q { address = %q }\n", name, s.voters[name])
+	}
+	b.WriteString("}\n")
+	path := filepath.Join(s.Dir, "council.hcl")
+	if err := errors.Join(os.WriteFile(path, []byte(b.String()), 0o600), os.WriteFile(filepath.Join(s.Dir, "fleet.keys"), []byte(s.c.keys), 0o600)); err != nil {
+		return err
+	}
+	p, err := proc.Run(s.c.binary, []string{"council", "--config", path}, "council serves")
+	if err != nil {
+		return fmt.Errorf("%s: %w", s.Name, err)
+	}
+	s.P = p
+	return nil
+}
+
+// Kill ends the process at once.
+func (s *Seat) Kill() {
+	if s.P != nil {
+		s.P.Kill()
+		s.P = nil
+	}
+}
+
+// Pause stops the process, or has it go on.
+func (s *Seat) Pause(yes bool) {
+	if s.P == nil {
+		return
+	}
+	if yes {
+		s.P.Signal(syscall.SIGSTOP)
+	} else {
+		s.P.Signal(syscall.SIGCONT)
+	}
+}
+
+// Folder is where the voter keeps its log.
+func (s *Seat) Folder() string { return filepath.Join(s.Dir, "folder") }
+
+// Status is what the voter answers.
+func (s *Seat) Status() (st council.Status, err error) {
+	n := Node{Name: s.Name, Admin: s.Admin}
+	return st, n.get("/v1/status", &st)
+}
+
+// Set sets the link from one voter to another.
+func (c *Council) Set(from, to *Seat, l Link) { c.links[[2]string{from.Name, to.Name}].Store(&l) }
+
+// Heal makes all links whole.
+func (c *Council) Heal() {
+	for _, p := range c.links {
+		p.Store(&Link{})
+	}
+}
+
+// Admins are all admin addresses, as commands take them.
+func (c *Council) Admins() string {
+	var all []string
+	for _, s := range c.Seats {
+		all = append(all, s.Admin)
+	}
+	return strings.Join(all, ",")
+}
+
+// Leader is the one voter that leads, as it says itself; an error while there is none.
+func (c *Council) Leader() (*Seat, error) {
+	for _, s := range c.Seats {
+		if s.P != nil {
+			if st, err := s.Status(); err == nil && st.Leading {
+				return s, nil
+			}
+		}
+	}
+	return nil, errors.New("nobody leads")
+}
+
+// Run runs a command of the program against this council and returns its exit code and what it wrote.
+func (c *Council) Run(args ...string) (code int, out string) {
+	cmd := c.Command(args...)
+	var b bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &b, &b
+	err := cmd.Run()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return exit.ExitCode(), b.String()
+	}
+	if err != nil {
+		return -1, err.Error()
+	}
+	return 0, b.String()
+}
+
+// Command is a command of the program, `fleet ARGS --admin ...`, that ends with the lab.
+func (c *Council) Command(args ...string) *exec.Cmd {
+	cmd := exec.Command(c.binary, append([]string{"fleet", "--admin", c.Admins()}, args...)...)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	return cmd
+}
+
+// Close ends all voters.
+func (c *Council) Close() {
+	for _, s := range c.Seats {
+		if s.P != nil {
+			s.P.Signal(syscall.SIGCONT)
+			s.Kill()
+		}
+	}
+	for _, l := range c.relays {
+		l.close()
+	}
+}
+
+// Logs are the last lines of all voters.
+func (c *Council) Logs() string {
+	var b strings.Builder
+	for _, s := range c.Seats {
+		if s.P != nil {
+			log := s.P.Log()
+			fmt.Fprintf(&b, "--- %s\n%s", s.Name, log[max(0, len(log)-3000):])
+		}
+	}
+	return b.String()
+}
+
+// Seated waits until a voter leads.
+func (c *Council) Seated(within time.Duration) (leader *Seat, err error) {
+	_, err = Until(within, func() error {
+		leader, err = c.Leader()
+		return err
+	})
+	return leader, err
+}
--- /dev/null
+++ b/internal/lab/rig/council_test.go
@@ -0,0 +1,92 @@
+package rig
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestPermits: three voters, a budget of one, one killed leader: a second target does not go out while the first is
+// out, whoever leads; a permit outlives its leader; what ended counts as out until it is told back.
+func TestPermits(t *testing.T) {
+	t.Parallel()
+	c, err := NewCouncil(program, t.TempDir(), 3, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(c.Logs())
+		}
+		c.Close()
+	})
+	leader, err := c.Seated(bound)
+	if err != nil {
+		t.Fatal(err)
+	}
+	run := func(want int, args ...string) string {
+		t.Helper()
+		code, out := c.Run(args...)
+		if code != want {
+			t.Errorf("%v: exit %d, want %d: %s", args, code, want, out)
+		}
+		return out
+	}
+	run(0, "budget", "set", "--of", "gateways", "--most", "1")
+	mark := filepath.Join(t.TempDir(), "started")
+	first := c.Command("permit", "gateway/gw-1", "--for", "60s", "--wait", "30s", "--", "sh", "-c", "echo $REACHWIND_FENCE > "+mark+"; while [ -e "+mark+" ]; do sleep 0.1; done; exit 7")
+	if err := first.Start(); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the first command runs", func() error { _, err := os.Stat(mark); return err })
+	if out := run(75, "permit", "gateway/gw-2", "--for", "30s", "--wait", "1s", "--", "touch", mark+"2"); !strings.Contains(out, "gateway/gw-1 by") {
+		t.Errorf("the refusal does not name who holds the budget: %s", out)
+	}
+	leader.Kill()
+	if _, err := c.Seated(bound); err != nil {
+		t.Fatal(err)
+	}
+	run(75, "permit", "gateway/gw-2", "--for", "30s", "--wait", "1s", "--", "touch", mark+"2")
+	if _, err := os.Stat(mark + "2"); err == nil {
+		t.Fatal("a command was started without a permit")
+	}
+	if err := os.Remove(mark); err != nil {
+		t.Fatal(err)
+	}
+	if err := first.Wait(); first.ProcessState.ExitCode() != 7 {
+		t.Errorf("the command's own exit code 7 is not passed on: %v", err)
+	}
+	run(0, "permit", "gateway/gw-2", "--for", "30s", "--wait", "20s", "--", "true")
+	began := time.Now()
+	run(76, "permit", "gateway/gw-3", "--for", "2s", "--wait", "20s", "--", "sleep", "600")
+	if took := time.Since(began); took > 60*time.Second {
+		t.Errorf("the command was stopped after %v", took)
+	}
+	if err := leader.Start(); err != nil {
+		t.Fatal(err)
+	}
+	vanished := c.Command("permit", "gateway/gw-4", "--for", "2s", "--wait", "20s", "--", "sleep", "600")
+	if err := vanished.Start(); err != nil {
+		t.Fatal(err)
+	}
+	overdue := func() error {
+		_, out := c.Run("status")
+		if !strings.Contains(out, "overdue") {
+			return errNone
+		}
+		return nil
+	}
+	time.Sleep(time.Second)
+	_ = vanished.Process.Kill() // its holder is gone: the target counts as out
+	_ = vanished.Wait()
+	until(t, "the permit is overdue", overdue)
+	run(75, "permit", "gateway/gw-5", "--for", "30s", "--wait", "1s", "--", "true")
+	run(0, "undrain", "gateway/gw-4")
+	run(0, "permit", "gateway/gw-5", "--for", "30s", "--wait", "20s", "--", "true")
+	for _, s := range c.Seats[1:] { // no majority: nothing new goes out
+		s.Kill()
+	}
+	run(75, "permit", "gateway/gw-6", "--for", "30s", "--wait", "1s", "--", "true")
+}
