--- a/internal/fleet/agreed/agreed.go
+++ b/internal/fleet/agreed/agreed.go
@@ -113,6 +113,8 @@
 	Target string `cbor:"5,keyasint,omitempty" json:"target,omitempty"`
 	Fence  uint64 `cbor:"6,keyasint,omitempty" json:"fence,omitempty"`
 	Result string `cbor:"7,keyasint,omitempty" json:"result,omitempty"`
+	Number uint64 `cbor:"8,keyasint,omitempty" json:"number,omitempty"` // of the client's command
+	OK     bool   `cbor:"9,keyasint,omitempty" json:"ok"`
 }
 
 // Guard is one of the checks that keep the budgets. A checker switches them off one at a time.
@@ -293,7 +295,7 @@
 		if r.Permit != nil {
 			fence = r.Permit.Fence
 		}
-		m.record(Entry{Index: index, Who: c.Who, What: opNames[c.Op], Target: c.Target, Fence: fence, Result: result})
+		m.record(Entry{Index: index, Who: c.Who, What: opNames[c.Op], Target: c.Target, Fence: fence, Result: result, Number: c.Number, OK: r.OK})
 	}
 	return r
 }
