Gateways report to the council: who fails by itself counts as out, who is back does not

Need: budgets counted permits only; the issue wants who fails by itself to count as out, and an overdue target to count until it is seen back.

A new leader takes nobody for out that it has had no time to hear.

--- a/cmd/reachwind/fleet.go
+++ b/cmd/reachwind/fleet.go
@@ -80,6 +80,9 @@
 		}
 		_, _ = fmt.Fprintln(out, "parts of shared budgets, 1 = its own:", pairs(v.Parts))
 		_, _ = fmt.Fprintln(out, "counts:", pairs(v.Counts))
+		if s := v.Council; s != nil {
+			_, _ = fmt.Fprintf(out, "council: leader %q, index %d, heard %v ago, permit %d\n", s.Leader, s.Index, (time.Duration(s.AgeMs) * time.Millisecond).Round(100*time.Millisecond), s.Fence)
+		}
 		return nil
 	})
 	add("beliefs", "what is claimed of members, by whom", func(out io.Writer) error {
--- a/cmd/windlab/run.go
+++ b/cmd/windlab/run.go
@@ -36,6 +36,7 @@
 	"beliefs":      {"gateways that know each other against the same alone, through crashes, hangs and restarts of members", beliefs},
 	"fleet-cost":   {"CPU a request, p99 and memory with the block fleet on and off", fleetCost},
 	"guards":       {"each guard of the group switched off: which day misses it, in virtual time", guards},
+	"council":      {"councils in virtual time: histories checked, each guard switched off", councilRun},
 	"group-faults": {"drawn faults between processes of a group, by seed", groupFaults},
 	"group-days":   {"drawn days of the group in virtual time", simdays},
 	"cost":         {"CPU a request and memory, without and with syslog, against an earlier build", cost},
--- a/internal/fleet/agreed/agreed.go
+++ b/internal/fleet/agreed/agreed.go
@@ -254,6 +254,14 @@
 	return all
 }
 
+// Targets are those that were reported last, in the order of their names.
+func (m *Machine) Targets() (all []Target) {
+	for _, k := range slices.Sorted(maps.Keys(m.s.Targets)) {
+		all = append(all, m.s.Targets[k])
+	}
+	return all
+}
+
 // History are the last entries, the oldest first.
 func (m *Machine) History() []Entry { return m.s.History }
 
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -20,6 +20,7 @@
 	Admin     string // empty: none
 	Seeds     []string
 	SeedFile  string
+	Council   []string // addresses of its voters; empty: none
 	Zone      string
 	Region    string
 	KeyFile   string
@@ -47,6 +48,7 @@
 		Admin:     b.Text("admin", ""),
 		Seeds:     b.Texts("seeds"),
 		SeedFile:  b.File("seed_file"),
+		Council:   b.Texts("council"),
 		Zone:      b.Text("zone", ""),
 		Region:    b.Text("region", ""),
 		KeyFile:   b.File("key_file"),
@@ -75,6 +77,12 @@
 	for _, s := range c.Seeds {
 		address(b, "seeds", s, true)
 	}
+	for _, s := range c.Council {
+		address(b, "council", s, true)
+	}
+	if len(c.Council) > 7 {
+		b.FaultAt("council", "%d voters, want at most 7", len(c.Council))
+	}
 	if len(c.Seeds) > seedsMost {
 		b.FaultAt("seeds", "%d seeds, want at most %d", len(c.Seeds), seedsMost)
 	}
--- a/internal/fleet/council/council.go
+++ b/internal/fleet/council/council.go
@@ -17,6 +17,7 @@
 
 	"reachwind/internal/fleet/agreed"
 	"reachwind/internal/fleet/peers"
+	"reachwind/internal/fleet/subscribe"
 	"reachwind/internal/often"
 )
 
@@ -52,6 +53,10 @@
 	met     map[string]bool // voters whose identity was looked up, and whether it is theirs
 	leader  uint64
 
+	reports  *subscribe.Book
+	reportAt Time
+	number   uint64 // of this voter's own commands
+
 	foreign often.Line
 }
 
@@ -64,7 +69,7 @@
 	}
 	defer func() { err = errors.Join(err, store.Close()) }()
 	v := &Voter{conf: c, log: log, store: store, names: c.names(), begin: time.Now(), asks: make(chan func(), asksMost),
-		waiting: map[uint64]func(agreed.Result, error){}, met: map[string]bool{}}
+		waiting: map[uint64]func(agreed.Result, error){}, met: map[string]bool{}, reports: subscribe.NewBook()}
 	var ids []uint64
 	for i := range v.names {
 		ids = append(ids, uint64(i+1))
@@ -104,6 +109,7 @@
 			ask()
 		case <-t.C:
 			v.node.Tick(v.now())
+			v.population()
 		}
 		for {
 			r, ok := v.node.Ready()
@@ -165,6 +171,10 @@
 	if in.Stream != 0 {
 		defer v.net.Answer(in.Stream, "", []byte{0}, false) // it has come; what it led to goes its own way
 	}
+	if len(in.Frame) > 1 && in.Frame[0] == subscribe.FrameReport {
+		v.report(in.Frame[1:])
+		return
+	}
 	if len(in.Frame) < 2 || in.Frame[0] != frameRaft {
 		return
 	}
@@ -190,6 +200,48 @@
 	v.node.Receive(v.now(), m)
 }
 
+// report takes a gateway's word that it is there, and answers with what is agreed, as far as this voter knows.
+func (v *Voter) report(b []byte) {
+	r, ok := v.reports.Take(v.now(), b)
+	if !ok {
+		return
+	}
+	id, _ := v.node.Leader()
+	told := subscribe.Told{Number: r.Number, Leader: v.name(id), Term: v.node.Term(), Index: v.node.Machine.Index()}
+	if p, ok := v.node.Machine.Permit("gateway/" + r.Name); ok && !p.Overdue {
+		told.Fence, told.LeftMs = p.Fence, max(0, p.Until-v.node.Machine.Time())
+	}
+	v.net.Send(r.Name, r.Addr, append([]byte{subscribe.FrameTold}, told.Encode()...), false, false)
+}
+
+// population has the leader tell the council who is there and who failed by itself, where that changed, and give back
+// permits that ended and whose gateways are seen serving.
+func (v *Voter) population() {
+	_, leads := v.node.Leader()
+	v.reports.Lead(v.now(), leads)
+	if !leads || v.now() < v.reportAt {
+		return
+	}
+	v.reportAt = v.now() + subscribe.Every
+	m := v.node.Machine
+	known := m.Targets()
+	if targets, changed := v.reports.Targets(v.now(), known); changed {
+		v.propose(&agreed.Command{Op: agreed.Population, Targets: targets})
+	}
+	for _, p := range m.Permits() {
+		if p.Overdue && v.reports.Serving(v.now(), p.Target) {
+			v.propose(&agreed.Command{Op: agreed.GiveBack, Target: p.Target, Fence: p.Fence, Reason: "seen back"})
+		}
+	}
+}
+
+// propose has the council do something of this voter's own; whether it came about is seen the next time.
+func (v *Voter) propose(c *agreed.Command) {
+	v.number++
+	c.Who, c.Client, c.Number = "council", fmt.Sprint("voter/", v.conf.Name, "/", v.store.Identity, "/", v.begin.UnixNano()), v.number
+	_, _ = v.node.Propose(v.now(), c)
+}
+
 // Admin.
 
 // Request is a command as it comes by the admin address.
@@ -218,6 +270,7 @@
 	TimeMs   int64           `json:"time_ms"`
 	Budgets  []agreed.Budget `json:"budgets"`
 	Permits  []agreed.Permit `json:"permits"`
+	Targets  []agreed.Target `json:"targets"`
 	Releases []struct{}      `json:"releases"`
 }
 
@@ -225,10 +278,13 @@
 	id, leading := v.node.Leader()
 	m := v.node.Machine
 	s := Status{Name: v.conf.Name, Quorum: id != 0, Leader: v.name(id), Leading: leading, Term: v.node.Term(), Index: m.Index(), TimeMs: m.Time(),
-		Budgets: m.Budgets(), Permits: m.Permits(), Releases: []struct{}{}}
+		Budgets: m.Budgets(), Permits: m.Permits(), Targets: m.Targets(), Releases: []struct{}{}}
 	if s.Budgets == nil {
 		s.Budgets = []agreed.Budget{}
 	}
+	if s.Targets == nil {
+		s.Targets = []agreed.Target{}
+	}
 	if s.Permits == nil {
 		s.Permits = []agreed.Permit{}
 	}
--- /dev/null
+++ b/internal/fleet/council/store_test.go
@@ -0,0 +1,80 @@
+package council
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"go.etcd.io/raft/v3/raftpb"
+)
+
+// TestStore: what was saved is found again; entries of another leader are replaced; a flipped byte of a value is found;
+// identities tell a folder from another.
+func TestStore(t *testing.T) {
+	dir := t.TempDir()
+	open := func() (*Store, Saved) {
+		t.Helper()
+		s, saved, err := OpenStore(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s, saved
+	}
+	s, saved := open()
+	if len(saved.Entries) > 0 || saved.Hard.Term > 0 {
+		t.Errorf("a new folder holds %+v", saved)
+	}
+	entry := func(i, term uint64, text string) raftpb.Entry {
+		return raftpb.Entry{Index: i, Term: term, Data: []byte(text)}
+	}
+	save := func(v Saved) {
+		t.Helper()
+		if err := s.Save(&v); err != nil {
+			t.Fatal(err)
+		}
+	}
+	save(Saved{Hard: raftpb.HardState{Term: 2, Vote: 1, Commit: 2}, Entries: []raftpb.Entry{entry(2, 2, "a"), entry(3, 2, "b"), entry(4, 2, "needle in the log")}})
+	save(Saved{Hard: raftpb.HardState{Term: 3, Vote: 2, Commit: 2}, Entries: []raftpb.Entry{entry(3, 3, "c"), entry(4, 3, "needle in the log")}})
+	self := s.Identity
+	if same, err := s.Meet("c2", 7); !same || err != nil {
+		t.Error(same, err)
+	}
+	if same, err := s.Meet("c2", 8); same || err != nil {
+		t.Error("another folder's voter is taken for the one that was met", err)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	s, saved = open()
+	if saved.Hard.Term != 3 || len(saved.Entries) != 3 || string(saved.Entries[1].Data) != "c" || saved.Entries[1].Term != 3 || s.Identity != self {
+		t.Errorf("found %+v", saved)
+	}
+	if err := s.Cut(raftpb.Snapshot{Data: []byte("state"), Metadata: raftpb.SnapshotMetadata{Index: 3, Term: 3}}); err != nil {
+		t.Fatal(err)
+	}
+	_ = s.Close()
+	s, saved = open()
+	if len(saved.Entries) != 1 || saved.Entries[0].Index != 4 || string(saved.Snapshot.Data) != "state" {
+		t.Errorf("after cutting, found %+v", saved)
+	}
+	_ = s.Close()
+	path := filepath.Join(dir, storeFile)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	flipped := 0
+	for i := range text { // every copy of the needle, as old pages hold some too
+		if i+6 < len(text) && string(text[i:i+6]) == "needle" {
+			text[i] ^= 1
+			flipped++
+		}
+	}
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := OpenStore(dir); flipped == 0 || !errors.Is(err, ErrDamaged) {
+		t.Errorf("%d flipped bytes: %v, want that the file is damaged", flipped, err)
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"reachwind/internal/fleet/group"
 	"reachwind/internal/fleet/peers"
 	"reachwind/internal/fleet/share"
+	"reachwind/internal/fleet/subscribe"
 	"reachwind/internal/fleet/swim"
 	"reachwind/internal/fleet/view"
 	"reachwind/internal/often"
@@ -57,22 +58,24 @@
 
 // Fleet is the part at work.
 type Fleet struct {
-	conf   Config
-	deps   Deps
-	log    *slog.Logger
-	net    *peers.Sockets
-	group  *group.Group // the owner's
-	begin  time.Time
-	epoch  uint64
-	number uint64
-	events *eventLog
-	saw    chan group.Saw
-	asks   chan func()
-	stop   chan struct{}
-	ended  chan struct{}
-	admin  *http.Server
-	seeds  []string
-	parts  [share.Budgets]float64
+	conf       Config
+	deps       Deps
+	log        *slog.Logger
+	net        *peers.Sockets
+	group      *group.Group // the owner's
+	begin      time.Time
+	epoch      uint64
+	number     uint64
+	events     *eventLog
+	saw        chan group.Saw
+	asks       chan func()
+	stop       chan struct{}
+	ended      chan struct{}
+	admin      *http.Server
+	seeds      []string
+	parts      [share.Budgets]float64
+	subscribed *subscribe.Subscription
+	drains     bool
 
 	member, discovery atomic.Int64 // last answers, on the fleet's clock
 	hot               atomic.Pointer[map[string]bool]
@@ -122,6 +125,7 @@
 		return nil, fmt.Errorf("admin: %w", err)
 	}
 	f.event(Event{Kind: "start"})
+	f.subscribed = subscribe.New()
 	f.log.Info("fleet begins", "name", c.Name, "epoch", f.epoch, "listen", c.Listen, "advertise", f.net.Addr(), "seeds", len(f.seeds))
 	go f.run()
 	return f, nil
@@ -159,15 +163,19 @@
 	defer close(f.ended)
 	t := time.NewTicker(tick)
 	defer t.Stop()
-	var seedsAt, shareAt time.Duration
+	var seedsAt, shareAt, reportAt time.Duration
 	for {
 		select {
 		case <-f.stop:
-			leave := true
-			f.carry(f.group.Step(f.now(), group.Event{Leave: leave}))
+			f.report(f.now(), true)
+			f.carry(f.group.Step(f.now(), group.Event{Leave: true}))
 			f.event(Event{Kind: "leave"})
 			return
 		case m := <-f.net.In():
+			if len(m.Frame) > 1 && m.Frame[0] == subscribe.FrameTold {
+				f.subscribed.Take(f.now(), m.Frame[1:])
+				continue
+			}
 			f.carry(f.group.Step(f.now(), group.Event{Frame: m.Frame, Stream: m.Stream, Refused: m.Refused}))
 		case s := <-f.saw:
 			if !s.Quiet && !s.Looked {
@@ -191,6 +199,10 @@
 				}
 				f.warm()
 			}
+			if now >= reportAt && len(f.conf.Council) > 0 {
+				reportAt = now + subscribe.Every
+				f.report(now, false)
+			}
 			if now >= shareAt && f.deps.Gateway != nil {
 				shareAt = now + shareEvery
 				f.share(now)
@@ -199,6 +211,18 @@
 	}
 }
 
+// report tells the council that this gateway is there, and hears what was agreed. Nothing waits for the answer.
+func (f *Fleet) report(now time.Duration, leaves bool) {
+	if len(f.conf.Council) == 0 {
+		return
+	}
+	self := f.group.Swim.Self()
+	frame := f.subscribed.Report(now, subscribe.Report{Name: self.Name, Zone: f.conf.Zone, Epoch: self.Epoch, Addr: self.Addr, Version: f.conf.Version, Drain: f.drains, Leaves: leaves})
+	for _, a := range f.conf.Council {
+		f.net.Send("", a, append([]byte{subscribe.FrameReport}, frame...), false, false)
+	}
+}
+
 // share tells the gateway its parts, and learns what it used.
 func (f *Fleet) share(now time.Duration) {
 	for i := range f.parts {
@@ -340,7 +364,7 @@
 // Reload, and the end.
 
 // ErrRestart is returned for a change that a reload can't make.
-var ErrRestart = errors.New("listen, advertise, admin, zone, region, folder, events and bytes_per_second take a restart")
+var ErrRestart = errors.New("listen, advertise, admin, council, zone, region, folder, events and bytes_per_second take a restart")
 
 // Prepare checks a new configuration and returns what takes it over: keys, routes and seeds.
 func (f *Fleet) Prepare(c Config) (func(), error) {
@@ -348,7 +372,7 @@
 	if c.Zone == "" {
 		c.Zone = f.deps.Zone
 	}
-	if c.Listen != o.Listen || c.Advertise != o.Advertise || c.Admin != o.Admin || c.Zone != o.Zone || c.Region != o.Region || c.Folder != o.Folder ||
+	if !slices.Equal(c.Council, o.Council) || c.Listen != o.Listen || c.Advertise != o.Advertise || c.Admin != o.Admin || c.Zone != o.Zone || c.Region != o.Region || c.Folder != o.Folder ||
 		c.Events != o.Events || c.Bytes != o.Bytes {
 		return nil, ErrRestart
 	}
@@ -360,7 +384,11 @@
 
 // Drain tells the peers that this gateway takes nothing new.
 func (f *Fleet) Drain(yes bool) {
-	_ = f.ask(func() { f.carry(f.group.Step(f.now(), group.Event{Drain: &yes})) })
+	_ = f.ask(func() {
+		f.drains = yes
+		f.report(f.now(), false)
+		f.carry(f.group.Step(f.now(), group.Event{Drain: &yes}))
+	})
 }
 
 // Close tells the peers that this gateway leaves, and ends.
@@ -430,6 +458,7 @@
 	Doubt   int                `json:"doubt"`
 	Parts   map[string]float64 `json:"parts"`
 	Counts  map[string]int64   `json:"counts"`
+	Council *subscribe.State   `json:"council,omitempty"` // what was last heard of it, and how old that is
 }
 
 func (f *Fleet) members() []Member {
@@ -471,6 +500,10 @@
 	if f.events != nil {
 		v.Counts["events_dropped"] = f.events.Dropped.Load()
 	}
+	if len(f.conf.Council) > 0 {
+		s := f.subscribed.State(now)
+		v.Council = &s
+	}
 	for i, n := range share.Names {
 		v.Parts[n] = f.group.Ledger.Part(now, i)
 	}
--- a/internal/lab/rig/council.go
+++ b/internal/lab/rig/council.go
@@ -153,6 +153,17 @@
 	return strings.Join(all, ",")
 }
 
+// Keys are the council's, for gateways that subscribe.
+func (c *Council) Keys() string { return c.keys }
+
+// Listens are where voters listen, for gateways that subscribe.
+func (c *Council) Listens() (all []string) {
+	for _, s := range c.Seats {
+		all = append(all, s.Listen)
+	}
+	return all
+}
+
 // Leader is the one voter that leads, as it says itself; an error while there is none.
 func (c *Council) Leader() (*Seat, error) {
 	for _, s := range c.Seats {
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -34,6 +34,8 @@
 	Seed    uint64
 	Bytes   string         // bytes_per_second, empty: as usual
 	Cost    bool           // no relays: processes reach each other directly
+	Council []string       // addresses of voters
+	Keys    string         // empty: a new key
 	Off     bool           // no fleet block: gateways that know nobody
 	Cluster cluster.Config // zero: two groups of three, with elections
 }
@@ -90,9 +92,11 @@
 		r.Close()
 		return nil, err
 	}
-	key, err := NewKey()
-	if err != nil {
-		return nil, err
+	key := c.Keys
+	if key == "" {
+		if key, err = NewKey(); err != nil {
+			return nil, err
+		}
 	}
 	for i := range c.Size {
 		n := &Node{Name: fmt.Sprintf("gw-%02d", i), Zone: c.Zones[i%len(c.Zones)], Listen: ports[2*i], Admin: ports[2*i+1], rig: r, routes: map[string]string{}, keys: key}
@@ -178,6 +182,9 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "fleet {\n  listen = %q\n  admin = %q\n  zone = %q\n  region = \"north\"\n  key_file = \"fleet.keys\"\n  folder = \"folder\"\n  events = \"events.jsonl\"\n", n.Listen, n.Admin, n.Zone)
 	fmt.Fprintf(&b, "  seeds = [%s]\n", quoted(n.seeds))
+	if len(n.rig.conf.Council) > 0 {
+		fmt.Fprintf(&b, "  council = [%s]\n", quoted(n.rig.conf.Council))
+	}
 	if n.rig.conf.Bytes != "" {
 		fmt.Fprintf(&b, "  bytes_per_second = %q\n", n.rig.conf.Bytes)
 	}
