One mesh of relays for groups and councils, and one look at a common view

Need: relays between pairs were made twice, and a common view was judged by all pairs: at 300 gateways 90,000 look-ups a tick, most of the experiment's time. Change: rig.mesh; equal digests mean equal tables, so the first table is compared with the truth.

--- a/internal/lab/rig/council.go
+++ b/internal/lab/rig/council.go
@@ -8,7 +8,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -30,9 +29,7 @@
 	Seats  []*Seat
 	binary string
 	keys   string
-	links  map[[2]string]*atomic.Pointer[Link]
-	relays []*relay
-	passed atomic.Int64
+	mesh
 }
 
 // NewCouncil makes the files and relays of a council, and starts its voters.
@@ -45,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Council{binary: binary, keys: key, links: map[[2]string]*atomic.Pointer[Link]{}}
+	c := &Council{binary: binary, keys: key}
 	for i := range size {
 		s := &Seat{Name: fmt.Sprintf("c%d", i+1), Listen: ports[2*i], Admin: ports[2*i+1], c: c, voters: map[string]string{}}
 		s.Dir = filepath.Join(dir, s.Name)
@@ -54,27 +51,14 @@
 		}
 		c.Seats = append(c.Seats, s)
 	}
-	for _, a := range c.Seats {
-		for _, b := range c.Seats {
-			p := new(atomic.Pointer[Link])
-			p.Store(&Link{})
-			c.links[[2]string{a.Name, b.Name}] = p
-		}
+	var places []place
+	for _, s := range c.Seats {
+		places = append(places, place{s.Name, s.Listen})
+		s.voters[s.Name] = s.Listen
 	}
-	for i, a := range c.Seats {
-		for j, b := range c.Seats {
-			a.voters[b.Name] = b.Listen
-			if a == b {
-				continue
-			}
-			l, err := newRelay(b.Listen, c.links[[2]string{a.Name, b.Name}], c.links[[2]string{b.Name, a.Name}], &c.passed, seed+uint64(i*size+j))
-			if err != nil {
-				c.Close()
-				return nil, err
-			}
-			c.relays = append(c.relays, l)
-			a.voters[b.Name] = l.addr
-		}
+	if err := c.open(places, false, seed, func(i, j int, to string) { c.Seats[i].voters[c.Seats[j].Name] = to }); err != nil {
+		c.Close()
+		return nil, err
 	}
 	for _, s := range c.Seats {
 		if err := s.Start(); err != nil {
@@ -135,14 +119,10 @@
 }
 
 // Set sets the link from one voter to another.
-func (c *Council) Set(from, to *Seat, l Link) { c.links[[2]string{from.Name, to.Name}].Store(&l) }
+func (c *Council) Set(from, to *Seat, l Link) { c.set(from.Name, to.Name, l) }
 
 // Heal makes all links whole.
-func (c *Council) Heal() {
-	for _, p := range c.links {
-		p.Store(&Link{})
-	}
-}
+func (c *Council) Heal() { c.heal() }
 
 // Admins are all admin addresses, as commands take them.
 func (c *Council) Admins() string {
@@ -207,9 +187,7 @@
 			s.Kill()
 		}
 	}
-	for _, l := range c.relays {
-		l.close()
-	}
+	c.mesh.close()
 }
 
 // Logs are the last lines of all voters.
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -60,12 +60,10 @@
 	conf    Config
 	Cluster *cluster.Cluster
 	Nodes   []*Node
-	links   map[[2]string]*atomic.Pointer[Link]
-	relays  []*relay
-	Passed  atomic.Int64 // bytes that relays passed on
-	began   time.Time
-	mu      sync.Mutex
-	Acts    []Act // what the rig did, for the merged timeline
+	mesh
+	began time.Time
+	mu    sync.Mutex
+	Acts  []Act // what the rig did, for the merged timeline
 }
 
 // Act is something that the rig did.
@@ -79,7 +77,7 @@
 	if len(c.Zones) == 0 {
 		c.Zones = []string{"a"}
 	}
-	r := &Rig{conf: c, links: map[[2]string]*atomic.Pointer[Link]{}, began: time.Now()}
+	r := &Rig{conf: c, began: time.Now()}
 	var err error
 	if c.Cluster.Groups == 0 {
 		c.Cluster = cluster.Config{Groups: 2, Replicas: 2, Lag: 10 * time.Millisecond, Elect: time.Second}
@@ -107,33 +105,21 @@
 		}
 		r.Nodes = append(r.Nodes, n)
 	}
-	for _, a := range r.Nodes {
-		for _, b := range r.Nodes {
-			p := new(atomic.Pointer[Link])
-			p.Store(&Link{})
-			r.links[[2]string{a.Name, b.Name}] = p
-		}
+	var places []place
+	for _, n := range r.Nodes {
+		places = append(places, place{n.Name, n.Listen})
 	}
-	for i, a := range r.Nodes {
-		for j, b := range r.Nodes {
-			if a == b {
-				continue
-			}
-			to := b.Listen
-			if !c.Cost {
-				l, err := newRelay(b.Listen, r.links[[2]string{a.Name, b.Name}], r.links[[2]string{b.Name, a.Name}], &r.Passed, c.Seed+uint64(i*c.Size+j))
-				if err != nil {
-					r.Close()
-					return nil, err
-				}
-				r.relays = append(r.relays, l)
-				to = l.addr
-				a.routes[b.Name] = to
-			}
-			if j < max(1, c.Seeds) {
-				a.seeds = append(a.seeds, to)
-			}
+	err = r.open(places, c.Cost, c.Seed, func(i, j int, to string) {
+		if n := r.Nodes[i]; !c.Cost {
+			n.routes[r.Nodes[j].Name] = to
 		}
+		if n := r.Nodes[i]; j < max(1, c.Seeds) {
+			n.seeds = append(n.seeds, to)
+		}
+	})
+	if err != nil {
+		r.Close()
+		return nil, err
 	}
 	return r, nil
 }
@@ -298,7 +284,7 @@
 func (n *Node) SetSeeds(seeds []string) { n.seeds = seeds }
 
 // Set sets the link from one node to another.
-func (r *Rig) Set(from, to *Node, l Link) { r.links[[2]string{from.Name, to.Name}].Store(&l) }
+func (r *Rig) Set(from, to *Node, l Link) { r.set(from.Name, to.Name, l) }
 
 // Cut cuts all links, one way, for which where says so.
 func (r *Rig) Cut(what string, where func(from, to *Node) bool) {
@@ -315,9 +301,7 @@
 // Heal makes all links whole.
 func (r *Rig) Heal() {
 	r.note("heal")
-	for _, p := range r.links {
-		p.Store(&Link{})
-	}
+	r.heal()
 }
 
 // Close ends everything.
@@ -329,9 +313,7 @@
 			n.P = nil
 		}
 	}
-	for _, l := range r.relays {
-		l.close()
-	}
+	r.mesh.close()
 	if r.Cluster != nil {
 		r.Cluster.Close()
 	}
--- a/internal/lab/simnet/simnet.go
+++ b/internal/lab/simnet/simnet.go
@@ -321,6 +321,8 @@
 		if d, e := n.G.Swim.Digest(), first.G.Swim.Digest(); d != e {
 			return fmt.Errorf("%s holds another view than %s: %s, %s", n.Name, first.Name, n.table(), first.table())
 		}
+	}
+	if n := first; n != nil { // all hold what the first holds: it is enough to look at that
 		for _, o := range w.Nodes {
 			if o == n || o.Name == n.Name {
 				continue
