--- a/internal/lab/simnet/day.go
+++ b/internal/lab/simnet/day.go
@@ -152,7 +152,7 @@
 	w := d.w
 	any := func() *Node { return w.Nodes[w.Rng.IntN(len(w.Nodes))] }
 	span := d.span()
-	switch w.Rng.IntN(13) {
+	switch w.Rng.IntN(14) {
 	case 0: // one way
 		a, b := any(), any()
 		if w.Rng.IntN(2) == 0 { // from a calm, so that nothing else can be the cause of what follows
@@ -248,16 +248,19 @@
 		w.Run(w.Now + 6*time.Second)
 	case 12:
 		return d.haunt()
+	case 13:
+		return d.doze()
 	case 11: // two under one name
 		n := any()
 		if w.another(n) || !n.Up {
 			return nil
 		}
 		d.note("a second process under the name %s, for %v", n.Name, span)
+		earlier := n.Epoch
 		twin := w.Add(n.Name, n.Zone)
 		own := twin.Epoch
 		w.Run(w.Now + span)
-		if twin.Epoch != own && n.Epoch < own {
+		if twin.Epoch != own && earlier < own {
 			return fmt.Errorf("the later start under the name %s went from epoch %d to %d: the earlier does not yield", n.Name, own, twin.Epoch)
 		}
 		if w.Rng.IntN(2) == 0 {
@@ -371,6 +374,39 @@
 	}
 }
 
+// doze stops one that suspects another, which is stopped too but goes on soon: when it wakes, the other has long denied
+// it, and that word waits to be read.
+func (d *day) doze() error {
+	w := d.w
+	n, other := w.Nodes[0], w.Nodes[1]
+	w.Heal()
+	w.Run(w.Now + 25*time.Second)
+	if !n.Up || !other.Up || w.Common() != nil || !d.calm() || len(w.Up()) < 3 {
+		return d.err
+	}
+	d.note("%s is stopped until %s suspects it, which is stopped then for 30s", other.Name, n.Name)
+	other.Pause(true)
+	_, err := w.Until(w.Now+20*time.Second, func() error {
+		if p, _ := n.G.Swim.Peer(other.Name); p.State == swim.Suspect {
+			return nil
+		}
+		return errors.New("not suspected")
+	})
+	n.Pause(err == nil)
+	w.Run(w.Now + 500*time.Millisecond)
+	other.Pause(false)
+	w.Run(w.Now + 30*time.Second)
+	n.Pause(false)
+	woke := w.Now
+	w.Run(w.Now + 2*time.Second)
+	for _, c := range n.Changes {
+		if err == nil && c.At >= woke && c.Peer == other.Name && c.State == swim.Failed {
+			return fmt.Errorf("%s woke at %v and took %s for failed, which was there for half a minute", n.Name, woke, c.Peer)
+		}
+	}
+	return d.err
+}
+
 // calm tells that what the last fault led to is over, and nobody has lost its name.
 func (d *day) calm() bool {
 	for _, n := range d.w.Nodes {
