A process that was stopped no longer takes a suspect for failed when another witness speaks

At fault: paused in internal/fleet/swim moved the suspect's term by the pause, but not the time from which term() counts it anew when a further witness is heard.

Change: both are moved.

--- a/internal/fleet/swim/swim.go
+++ b/internal/fleet/swim/swim.go
@@ -292,6 +292,7 @@
 	for _, p := range n.peers {
 		if p.State == Suspect {
 			p.until += span
+			p.suspected += span // a further witness counts from there
 		}
 	}
 	n.doubt = min(n.doubt+1, doubtMost)
--- a/internal/lab/simnet/day.go
+++ b/internal/lab/simnet/day.go
@@ -93,6 +93,15 @@
 	err   error
 	quiet Time // end of the last fault
 	tape  []recorded
+	lone  *Node // knows no address of another
+}
+
+// found gives who knows nobody the seeds, where those who know it are about to forget: nobody could find the other.
+func (d *day) found() {
+	if n := d.lone; n != nil && n.Up && !n.Paused {
+		n.step(group.Event{Seeds: d.w.Known})
+	}
+	d.lone = nil
 }
 
 type recorded struct {
@@ -182,6 +191,7 @@
 	case 4:
 		return d.pause([]Time{time.Second, 5 * time.Second, 30 * time.Second}[w.Rng.IntN(3)])
 	case 5: // most are killed, and come back knowing nothing but the seeds
+		d.found()
 		d.note("7 in 10 are killed, back after up to %v", span)
 		for _, n := range w.Nodes {
 			if n.Up && w.Rng.IntN(10) < 7 {
@@ -207,6 +217,7 @@
 		if known := w.Known; !w.another(n) {
 			if w.Rng.IntN(2) == 0 { // and knows nobody: those who look for it must tell it
 				w.Known = []string{n.Addr}
+				d.lone = n
 			}
 			n.StartOld(old)
 			w.Known = known
@@ -280,6 +291,7 @@
 	if !dead.Up || w.another(dead) || dead.G.Swim.Displaced() || len(w.links) > 0 {
 		return nil
 	}
+	d.found()
 	d.note("%s dies, and what it sent before the others started anew is played again for a minute", dead.Name)
 	var tape []recorded
 	w.OnAct = func(n *Node, a *group.Action) {
@@ -399,6 +411,13 @@
 	n.Pause(false)
 	woke := w.Now
 	w.Run(w.Now + 2*time.Second)
+	for _, o := range w.Nodes { // told by others is not its own judgement
+		for _, c := range o.Changes {
+			if o != n && c.Peer == other.Name && c.State == swim.Failed && c.At > woke-time.Minute {
+				return d.err
+			}
+		}
+	}
 	for _, c := range n.Changes {
 		if err == nil && c.At >= woke && c.Peer == other.Name && c.State == swim.Failed {
 			return fmt.Errorf("%s woke at %v and took %s for failed, which was there for half a minute", n.Name, woke, c.Peer)
--- a/internal/lab/simnet/simnet_test.go
+++ b/internal/lab/simnet/simnet_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"reachwind/internal/fleet/share"
+	"reachwind/internal/fleet/swim"
 )
 
 // TestDays: whatever cuts, pauses, deaths, lies and repeats a seed draws, the rules hold and the group comes to one
@@ -50,3 +53,24 @@
 		t.Error("after a crash:", err)
 	}
 }
+
+// TestGuards: without any single one of the guards a known day breaks a rule, which with all of them it does not: a check
+// that can't fail is none. `windlab run guards` finds such days.
+func TestGuards(t *testing.T) {
+	for _, c := range []struct {
+		seed uint64
+		off  swim.Guard
+		lend share.Guard
+	}{
+		{3, swim.GuardPause, 0}, {1, swim.GuardRefute, 0}, {300, swim.GuardEpoch, 0}, {17, swim.GuardAsk, 0}, {6, swim.GuardJump, 0},
+		{2, swim.GuardRetry, 0}, {7, swim.GuardYield, 0}, {11, swim.GuardAddress, 0},
+		{8, 0, share.GuardStart}, {1, 0, share.GuardTerm}, {5, 0, share.GuardOnce}, {1, 0, share.GuardMargin}, {1, 0, share.GuardLend},
+	} {
+		if _, err := Day(c.seed, c.off, c.lend); err == nil {
+			t.Errorf("day %d does not miss guards %d, %d", c.seed, c.off, c.lend)
+		}
+		if r, err := Day(c.seed, 0, 0); err != nil {
+			t.Errorf("day %d with all guards: %v %q", c.seed, err, r.Faults)
+		}
+	}
+}
