Measure groups of processes by an experiment of its own

Need: the virtual part at 1,000 gateways takes minutes of processor, and the processes' part waited for it. Change: windlab run group-size beside run membership.

--- a/cmd/windlab/membership.go
+++ b/cmd/windlab/membership.go
@@ -91,16 +91,15 @@
 	return map[string]any{"days": days, "faults": faults, "worst_s": worst.Seconds()}, nil
 }
 
-// membership measures the group: in virtual time by size, and with processes on this machine.
+// membership measures the group in virtual time, by size.
 func membership(l *lab) (any, error) {
-	sizes, repeats, groups := []int{40, 300, 1000}, 10, []int{3, 12, 40}
+	sizes, repeats := []int{40, 300, 1000}, 10
 	if l.quick {
-		sizes, repeats, groups = []int{12, 40}, 3, []int{3, 6}
+		sizes, repeats = []int{12, 40}, 3
 	}
 	if l.round > 0 {
 		repeats = l.round
 	}
-	out := map[string]any{}
 	w := tabwriter.NewWriter(l.out, 0, 4, 2, ' ', 0)
 	_, _ = fmt.Fprintln(w, "VIRTUAL\tSTART\tCRASH p50\tp99\tSPLIT KNOWN p50\tp99\tONE VIEW AFTER HEAL p50\tp99\tB/s REST\tTROUBLE\tCPU/s REST\tHEAP")
 	sec := func(t time.Duration) string { return fmt.Sprintf("%.1f s", t.Seconds()) }
@@ -125,10 +124,7 @@
 			}
 		}
 	}
-	out["virtual"] = virtual
-	procs, err := membershipProcs(l, groups)
-	out["processes"] = procs
-	return out, err
+	return virtual, nil
 }
 
 // procFigures are what a group of processes showed.
@@ -140,7 +136,13 @@
 	Bytes                     int64 // a second and gateway, at rest
 }
 
-func membershipProcs(l *lab, sizes []int) (all []procFigures, err error) {
+// groupSize measures groups of processes on this machine, by size.
+func groupSize(l *lab) (any, error) {
+	sizes := []int{3, 12, 40}
+	if l.quick {
+		sizes = []int{3, 6}
+	}
+	var all []procFigures
 	binary, err := proc.Binary()
 	if err != nil {
 		return nil, err
