Judge a council's play when all are up again, and take a target back before giving it back

Causes, all in the play: histories were judged while who had answered last was down; faults went on after the last one; a client counted its target as out until it heard that its permit was taken back, where a command has ended by then. Change: each mended.

--- a/internal/lab/simcouncil/simcouncil.go
+++ b/internal/lab/simcouncil/simcouncil.go
@@ -87,6 +87,7 @@
 	granted int
 	faults  int
 	ready   bool // the budget is set
+	over    bool // no more faults
 }
 
 // client takes targets out and brings them back, one after another.
@@ -159,11 +160,9 @@
 	if w.err != nil {
 		return r, w.err
 	}
-	if err := w.inOrder(seed%50 == 0); err != nil {
-		return r, err
-	}
 	// After the last fault one leads and all that are up agree.
 	clear(w.cut)
+	w.over = true
 	w.loss, w.delay = 0, 2*time.Millisecond
 	for _, v := range w.voters {
 		v.paused = false
@@ -175,8 +174,8 @@
 		e := heap.Pop(&w.queue).(event)
 		w.now = e.at
 		e.do()
-		if w.leader() != nil && w.same() {
-			return r, w.err
+		if w.leader() != nil && w.same() && w.err == nil { // whoever answered last may have been down till now
+			return r, w.inOrder(seed%50 == 0)
 		}
 	}
 	if w.err == nil {
@@ -286,7 +285,7 @@
 }
 
 func (w *world) dies(v *voter) bool {
-	if w.now < 2*time.Second || w.rng.IntN(4000) > 0 {
+	if w.over || w.now < 2*time.Second || w.rng.IntN(4000) > 0 {
 		return false
 	}
 	w.kill(v, Time(w.rng.Int64N(int64(5*time.Second))))
@@ -333,6 +332,9 @@
 
 // fault draws a fault, ends earlier ones now and then, and draws on.
 func (w *world) fault() {
+	if w.over {
+		return
+	}
 	w.faults++
 	v := w.voters[w.rng.IntN(len(w.voters))]
 	if l := w.leader(); l != nil && w.rng.IntN(2) == 0 {
@@ -414,6 +416,7 @@
 		w.call(c, agreed.Command{Op: agreed.Acquire, Target: c.target, Term: term.Milliseconds()})
 		return
 	}
+	c.out = false // it is back before it is given back, as a command has ended by then
 	w.call(c, agreed.Command{Op: agreed.GiveBack, Target: c.target, Fence: c.fence})
 }
 
