Two processes of one gateway share commits, lists and limits while one replaces the other

Need: the platform starts run beside the process in service on one listening socket and one TMPDIR; for rules and limits both count as one.

Change: the listener comes from NODE_SOCKET_FD; internal/handover has a board in shared memory (sessions' commits, who lives and is ready), sealed state files and the split of limits; the gateway begins with the list that the former process had, warms up while the other serves, and stops accepting at SIGTERM where a successor is ready. Not taken: messages over a socket between the two, as an answer would wait for the other process. Off without NODE_SOCKET_FD.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -72,6 +72,7 @@
 	Group         int64
 	Front         string // which front it came by, in one word
 	Session       string
+	Writes        bool // a write, whose commit the session's reads must see
 	Written       Time // the session's last write where clients carry it, 0 = none
 	AtLeast       Time // a read must see what was committed by then, 0 = what its class says
 	Retry         bool
@@ -155,6 +156,15 @@
 	Ended(class int, v Verdict, took Time)
 }
 
+// Ledger shares sessions' commits with another process of the same gateway. Its methods are called on the owner's
+// goroutine and must not block.
+type Ledger interface {
+	// Commit notes a session's write, before it is answered.
+	Commit(group int64, session string, p Time)
+	// Committed is a time up to which the session's reads must see, 0 = any.
+	Committed(group int64, session string) Time
+}
+
 // Core owns the module. See Run.
 type Core struct {
 	Clock
@@ -167,6 +177,7 @@
 	queue []func()
 	wake  chan struct{}
 
+	ledger   Ledger  // nil: this process is alone
 	witness  Witness // nil: nobody wants to know
 	watch    *watch  // nil: nobody wants records
 	sink     atomic.Pointer[record.Sink]
@@ -193,6 +204,9 @@
 // Tell names a witness, nil for none. It must be called before Run.
 func (c *Core) Tell(w Witness) { c.witness = w }
 
+// Share names a ledger, nil for none. It must be called before Run.
+func (c *Core) Share(l Ledger) { c.ledger = l }
+
 // Event hands the module an event of another part of the gateway.
 func (c *Core) Event(e decide.Event) { c.Post(func() { c.events = append(c.events, e) }) }
 
@@ -324,6 +338,9 @@
 	c.requests[q.id] = q
 	now := c.Now()
 	q.arrived = now
+	if c.ledger != nil && q.Session != "" && !q.Writes {
+		q.AtLeast = max(q.AtLeast, c.ledger.Committed(q.Group, q.Session))
+	}
 	e := decide.Event{Kind: decide.Arrive, Request: q.id, Class: q.Class, Tenant: q.Tenant, Group: q.Group,
 		Session: q.Session, AtLeast: q.AtLeast, IsRetry: q.Retry, Remaining: q.Until - now}
 	if q.Written > 0 {
@@ -421,6 +438,9 @@
 	if o.Stamped {
 		c.watch.learn(a.Member, o.Position)
 	}
+	if c.ledger != nil && o.Result == decide.Served && o.Stamped && q.Writes && q.Session != "" {
+		c.ledger.Commit(q.Group, q.Session, o.Position)
+	}
 	if o.Result == decide.Served {
 		c.finish(q, Answer{Verdict: Served, Body: o.Body, Position: a.position}, record.NoCause)
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"reachwind/decide"
@@ -38,6 +39,18 @@
 var states = map[string]decide.MemberState{
 	"ready": decide.Up, "draining": decide.Draining, "gone": decide.Removed}
 
+// EntryOf gives a member in discovery's form.
+func EntryOf(m core.Listed) Entry {
+	e := Entry{InstanceID: m.ID, HostPort: m.Addr, Zone: m.Zone, MachineType: m.Kind, Cell: m.Group, Lifecycle: "ready", Weight: m.Weight,
+		StartedAtMs: m.Started.Milliseconds()}
+	for name, state := range states {
+		if state == m.State {
+			e.Lifecycle = name
+		}
+	}
+	return e
+}
+
 // Members translates the entries.
 func (l *List) Members() ([]core.Listed, error) {
 	list := make([]core.Listed, 0, len(l.Instances))
@@ -73,7 +86,7 @@
 
 // Client asks discovery. Watch, Fetch and Move only leave word for Run.
 type Client struct {
-	version int64
+	version atomic.Int64
 	wait    time.Duration // of a watch's calls
 	sink    Sink
 	log     *slog.Logger
@@ -93,10 +106,15 @@
 
 // New returns a client that holds the list of the given version, for one of so many gateways that ask there.
 func New(addr string, version int64, gateways int, sink Sink, dial func(context.Context, string) (net.Conn, error), log *slog.Logger) *Client {
-	return &Client{next: addr, version: version, wait: min(max(waitLeast, time.Duration(gateways)*waitEach), waitMost), sink: sink, dial: dial, log: log,
+	c := &Client{next: addr, wait: min(max(waitLeast, time.Duration(gateways)*waitEach), waitMost), sink: sink, dial: dial, log: log,
 		watch: make(chan struct{}, 1), fetch: make(chan struct{}, 1), move: make(chan struct{}, 1)}
+	c.version.Store(version)
+	return c
 }
 
+// Version is that of the list as last told. It may be called from the sink and from any goroutine.
+func (c *Client) Version() int64 { return c.version.Load() }
+
 // Watch asks for changes from now on. While a watch is on it does nothing.
 func (c *Client) Watch() { leave(c.watch) }
 
@@ -150,7 +168,7 @@
 // last answer directly, which keeps the watch unbroken.
 func (c *Client) follow(ctx context.Context) {
 	for wait := time.Duration(0); ctx.Err() == nil; wait = c.wait {
-		if !c.call(ctx, fmt.Sprintf("%s?index=%d&wait=%d", path, c.version, wait.Milliseconds()), wait) {
+		if !c.call(ctx, fmt.Sprintf("%s?index=%d&wait=%d", path, c.version.Load(), wait.Milliseconds()), wait) {
 			return
 		}
 		select { // asked for while on: it is on
@@ -192,7 +210,7 @@
 		c.sink(decide.ListError, nil)
 		return false
 	}
-	c.version = list.Generation
+	c.version.Store(list.Generation)
 	kind := decide.ListChange
 	if list.Reset {
 		kind = decide.ListFull
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,9 +63,11 @@
 	Edge    string // of the product configuration; empty: none, and no part of it runs
 	Version string
 	Log     *slog.Logger
-	Records *record.Handler  // that Log goes through; takes the sink of records
-	Dial    pgmember.Dialer  // to members and discovery; nil: TCP
-	Wall    func() time.Time // nil: the system's; another one only in laboratories, where clocks are set apart
+	Records *record.Handler // that Log goes through; takes the sink of records
+	Dial    pgmember.Dialer // to members and discovery; nil: TCP
+	// Handover is the folder where processes of this gateway that replace each other share what binds them; empty: none does.
+	Handover string
+	Wall     func() time.Time // nil: the system's; another one only in laboratories, where clocks are set apart
 }
 
 // Serve runs the gateway until SIGTERM or SIGINT, then winds it down. SIGHUP has
@@ -80,10 +82,14 @@
 		debug.SetMemoryLimit(int64(softPart * float64(c.memory)))
 		debug.SetGCPercent(garbagePart)
 	}
-	listener, err := net.Listen("tcp", c.Listen)
+	fd := os.Getenv("NODE_SOCKET_FD")
+	listener, err := listen(c.Listen, fd)
 	if err != nil {
 		return err
 	}
+	if fd != "" {
+		o.Handover = os.TempDir()
+	}
 	defer func() { _ = listener.Close() }()
 	return Run(term, hup, c, listener, o)
 }
@@ -111,6 +117,7 @@
 	parts  []part
 	over   *overlay // nil: nobody agrees on drains
 	fleet  *fleet.Fleet
+	line   *succession          // nil: no other process takes this one's place
 	most   int                  // client connections
 	door   atomic.Pointer[door] // nil: not serving yet
 }
@@ -213,14 +220,27 @@
 		Grace:   span(f.Rules.StopSendingWithinUs, graceUsual), DrainOnly: f.Rules.DrainBindsAlone,
 		Names: f.Feedback.Names}, bufs, dial, log)
 	list := discovery.Sink(owner.List)
+	line := succeed(o.Handover, c, owner.Now, log)
+	line.inherit(c)
 	var over *overlay
 	if edge.Fleet != nil && len(edge.Fleet.Council) > 0 {
 		over = newOverlay(c.Name, owner.List)
 		list = over.List
 	}
+	if line != nil {
+		owner.Share(line)
+		next := list
+		list = func(kind decide.EventKind, members []core.Listed) {
+			line.List(kind, members)
+			next(kind, members)
+		}
+	}
 	dir := discovery.New(c.Discovery, c.version, c.Decide.Fronts, list, dial, log)
+	if line != nil {
+		line.version = dir.Version
+	}
 	owner.Connect(pool, dir)
-	g := &running{o: o, c: c, router: router, owner: owner, pool: pool, dir: dir, claims: call.NewClaims(), over: over, most: share.Clients}
+	g := &running{o: o, c: c, router: router, owner: owner, pool: pool, dir: dir, claims: call.NewClaims(), over: over, line: line, most: share.Clients}
 	if edge.Syslog != nil {
 		p, err := startSyslog(edge.Syslog, owner, c.Decide.ColdTime, o)
 		if err != nil {
@@ -250,6 +270,10 @@
 		ComeBack:  c.Decide.MaxRetryAfter,
 		Keep:      int(bufferReserve * float64(share.Buffers)),
 		StartWait: startWait, WriteWait: writeWait, RefuseWait: refuseWait, IdleMost: idleMost, IdleKeep: int(idlePart * float64(share.Sockets)), Claims: g.claims}, bufs, log)
+	if line != nil {
+		line.apply = g.limit(bufs, share)
+		go line.run(share.Sockets)
+	}
 	return g, nil
 }
 
@@ -276,7 +300,9 @@
 		}
 	}()
 	failed := make(chan error, 1)
+	g.line.warm(term.Done())
 	go func() { failed <- g.front.Serve(listener) }()
+	g.line.ready()
 	log.Info("serving", "name", c.Name, "listen", listener.Addr().String(), "members", len(c.Known), "version", g.o.Version)
 
 	select {
@@ -285,6 +311,9 @@
 	case <-term.Done():
 	}
 	accept := acceptAfter
+	if g.line.succeeded() { // who comes from now on waits for the other on the socket that both hold
+		accept = 0
+	}
 	if g.fleet != nil { // asks for a permit, and waits for it no longer than configured
 		accept = max(0, accept-g.fleet.Leave(context.Background()))
 	}
@@ -296,6 +325,7 @@
 	err := windDown(c, g.front, listener, accept, log)
 	<-drained
 	g.stop()
+	g.line.stop()
 	return err
 }
 
--- /dev/null
+++ b/internal/gateway/handover.go
@@ -0,0 +1,328 @@
+package gateway
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"net"
+	"os"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"reachwind/decide"
+	"reachwind/internal/core"
+	"reachwind/internal/discovery"
+	"reachwind/internal/handover"
+	"reachwind/internal/pgwire"
+)
+
+const (
+	lookAlone    = 50 * time.Millisecond   // between looks for another process of this gateway
+	lookTogether = 20 * time.Millisecond   // and at what it changed, while there is one
+	countEach    = 5                       // such looks between two counts of the descriptors in use
+	warmMost     = 1500 * time.Millisecond // a successor waits so long for discovery before it accepts: the other still serves
+	warmLeast    = 3 * lookAlone           // and so long in any case, till the other has seen it
+
+	listFile = "reachwind.list"
+)
+
+// SocketError says that the listening socket that the platform holds can't be used.
+type SocketError struct {
+	Found string
+	Err   error
+}
+
+func (e *SocketError) Error() string {
+	return fmt.Sprintf("NODE_SOCKET_FD is %q (%v), wanted the number of an open listening TCP socket: have the platform pass it on, or unset NODE_SOCKET_FD to listen on the address", e.Found, e.Err)
+}
+
+// Unwrap gives the cause.
+func (e *SocketError) Unwrap() error { return e.Err }
+
+// listen opens the clients' listener, or takes the one that the platform holds.
+func listen(addr, fd string) (net.Listener, error) {
+	if fd == "" {
+		return net.Listen("tcp", addr)
+	}
+	n, err := strconv.ParseUint(fd, 10, 16)
+	if err != nil {
+		return nil, &SocketError{fd, errors.New("no number of a descriptor")}
+	}
+	f := os.NewFile(uintptr(n), "clients")
+	if f == nil {
+		return nil, &SocketError{fd, errors.New("no descriptor")}
+	}
+	defer func() { _ = f.Close() }() // FileListener has its own
+	l, err := net.FileListener(f)
+	if err != nil {
+		return nil, &SocketError{fd, err}
+	}
+	if _, ok := l.(*net.TCPListener); !ok {
+		_ = l.Close()
+		return nil, &SocketError{fd, errors.New("a socket, but none of TCP")}
+	}
+	return l, nil
+}
+
+// succession is this process's part in the replacement of one process by another: it shares what binds both. See
+// docs/design/handover.md. A nil succession shares nothing and costs nothing.
+type succession struct {
+	board  *handover.Board
+	log    *slog.Logger
+	now    func() core.Time
+	addr   string // of discovery
+	memory int64
+	done   chan struct{}
+
+	floor   atomic.Int64 // what session reads must see where commits can't be shared; forever while another lives
+	others  atomic.Int32
+	heard   chan struct{} // closed with the first whole list of discovery
+	once    sync.Once
+	apply   func(part float64, sockets int)
+	changed func() // state that another process changed is to be read
+
+	mu      sync.Mutex
+	listed  map[string]core.Listed
+	version func() int64 // of the list
+	pending bool         // a save is on, or will be
+	again   bool         // and once more after it
+}
+
+// succeed takes part in the succession in folder dir, "" being none.
+func succeed(dir string, c *Config, now func() core.Time, log *slog.Logger) *succession {
+	if dir == "" {
+		return nil
+	}
+	b, err := handover.Open(dir)
+	if err != nil {
+		log.Error("handover: nothing is shared with another process of this gateway", "err", err)
+		if b == nil {
+			return nil
+		}
+	}
+	s := &succession{board: b, log: log, now: now, addr: c.Discovery, memory: c.memory, done: make(chan struct{}),
+		heard: make(chan struct{}), listed: map[string]core.Listed{}}
+	s.look()
+	return s
+}
+
+// inherit gives the list that the former process had, if it is newer than what the configuration says.
+func (s *succession) inherit(c *Config) {
+	if s == nil {
+		return
+	}
+	text, err := s.board.Load(listFile)
+	var l struct {
+		Discovery string
+		discovery.List
+	}
+	if err == nil {
+		err = json.Unmarshal(text, &l)
+	}
+	switch members, e := l.Members(); {
+	case errors.Is(err, handover.ErrMissing):
+	case cmp.Or(err, e) != nil:
+		s.log.Warn("handover: the list of the former process is not used", "err", cmp.Or(err, e))
+	case l.Discovery == c.Discovery && l.Generation >= c.version:
+		c.Known, c.version = members, l.Generation
+		s.log.Info("handover: the list of the former process is taken over", "version", l.Generation, "entries", len(members))
+	}
+}
+
+// List notes what discovery says, for a process that follows.
+func (s *succession) List(kind decide.EventKind, members []core.Listed) {
+	if s == nil || kind == decide.ListError {
+		return
+	}
+	if kind == decide.ListFull {
+		s.once.Do(func() { close(s.heard) })
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if kind != decide.ListChange {
+		clear(s.listed)
+	}
+	for _, m := range members {
+		if m.State == decide.Removed {
+			delete(s.listed, m.ID)
+		} else if len(s.listed) < listedMost {
+			s.listed[m.ID] = m
+		}
+	}
+	if kind == decide.ListSaved || len(members) == 0 {
+		return
+	}
+	if s.again = s.pending; !s.pending {
+		s.pending = true
+		go s.save()
+	}
+}
+
+// save writes the list, and once more where it changed meanwhile.
+func (s *succession) save() {
+	for {
+		s.mu.Lock()
+		l := struct {
+			Discovery string
+			discovery.List
+		}{s.addr, discovery.List{Generation: s.version(), Reset: true}}
+		for _, id := range slices.Sorted(maps.Keys(s.listed)) {
+			l.Instances = append(l.Instances, discovery.EntryOf(s.listed[id]))
+		}
+		s.again = false
+		s.mu.Unlock()
+		text, err := json.Marshal(l)
+		if err == nil {
+			err = s.board.Save(listFile, text)
+		}
+		if err != nil {
+			s.log.Warn("handover: the list is not kept for the next process", "err", err)
+		}
+		s.mu.Lock()
+		s.pending = s.again
+		more := s.pending
+		s.mu.Unlock()
+		if !more {
+			return
+		}
+	}
+}
+
+// Commit implements core.Ledger.
+func (s *succession) Commit(group int64, session string, p core.Time) {
+	s.board.Commit(group, session, p)
+}
+
+// Committed implements core.Ledger.
+func (s *succession) Committed(group int64, session string) core.Time {
+	at := s.board.Committed(group, session)
+	if f := core.Time(s.floor.Load()); f > at {
+		at = min(f, s.now())
+	}
+	return at
+}
+
+// look sees who else lives, and takes the consequences.
+func (s *succession) look() []handover.Other {
+	others := s.board.Others()
+	n := int32(len(others))
+	if was := s.others.Swap(n); was != n {
+		s.log.Info("handover: processes of this gateway", "others", n)
+	}
+	shared := s.board.Shared()
+	for _, o := range others {
+		shared = shared && o.Shares
+	}
+	const forever = 1<<63 - 1
+	switch f := s.floor.Load(); {
+	case !shared && n > 0:
+		s.floor.Store(forever)
+	case f == forever:
+		s.floor.Store(int64(s.now()))
+	}
+	return others
+}
+
+// run keeps to what this process may use beside others, until stop.
+func (s *succession) run(sockets int) {
+	last, ticks, seen := sockets, 0, uint64(0)
+	for {
+		others := s.look()
+		if n := s.board.Changes(); n != seen {
+			if s.changed != nil {
+				s.changed()
+			}
+			seen = n
+			s.board.Saw(n)
+		}
+		wait := lookAlone
+		if len(others) > 0 {
+			wait = lookTogether
+			if ticks%countEach == 0 {
+				s.board.Used(descriptors())
+			}
+			ticks++
+		}
+		older := len(others) > 0 && !others[0].Older
+		if may := handover.Split(sockets, others, older); may != last {
+			part := 1.0
+			if len(others) > 0 {
+				part = 0.5
+			}
+			s.apply(part, may)
+			last = may
+		}
+		select {
+		case <-s.done:
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (s *succession) stop() {
+	if s != nil {
+		close(s.done)
+		s.board.Ready(false)
+	}
+}
+
+// descriptors is how many this process holds.
+func descriptors() int {
+	d, err := os.Open("/proc/self/fd")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = d.Close() }()
+	names, _ := d.Readdirnames(-1)
+	return len(names)
+}
+
+// warm waits before the first accept while another process serves: for discovery's list, but not for long.
+func (s *succession) warm(term <-chan struct{}) {
+	if s == nil || s.others.Load() == 0 {
+		return
+	}
+	least, most := time.After(warmLeast), time.After(warmMost)
+	select {
+	case <-s.heard:
+		select {
+		case <-least:
+		case <-term:
+		}
+	case <-most:
+		s.log.Info("handover: serving before discovery answered")
+	case <-term:
+	}
+}
+
+// ready says that this process serves.
+func (s *succession) ready() {
+	if s != nil {
+		s.board.Ready(true)
+	}
+}
+
+// succeeded tells whether another process of this gateway is ready to serve.
+func (s *succession) succeeded() bool {
+	return s != nil && slices.ContainsFunc(s.board.Others(), func(o handover.Other) bool { return o.Ready && !o.Older })
+}
+
+// limit has the gateway use so much of its memory and so many descriptors from now on.
+func (g *running) limit(bufs *pgwire.Pool, share Budget) func(part float64, sockets int) {
+	return func(part float64, sockets int) {
+		bufs.Limit(int(part * float64(share.Buffers)))
+		g.front.Limit(int(clientPart * float64(sockets)))
+		g.owner.Post(func() { g.pool.Limit(int(memberPart * float64(sockets))) })
+		if g.c.memory > 0 {
+			debug.SetMemoryLimit(int64(part * softPart * float64(g.c.memory)))
+		}
+	}
+}
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -393,7 +393,7 @@
 	if !ok {
 		tenant = -1
 	}
-	q := &core.Request{Class: class, Tenant: tenant, Front: front, Group: st.Cluster, Retry: st.Retry,
+	q := &core.Request{Class: class, Tenant: tenant, Front: front, Group: st.Cluster, Retry: st.Retry, Writes: k.Writes(),
 		Written: core.Time(st.After) * time.Millisecond, Call: st,
 		Until: came + min(core.Time(min(st.Wait, maxWait))*time.Millisecond, k.Deadline)}
 	if k.HasSession() {
--- a/internal/pgfront/server.go
+++ b/internal/pgfront/server.go
@@ -58,6 +58,7 @@
 	mu       sync.Mutex
 	conns    map[*conn]bool
 	refusing int
+	most     int // conf.Max, or what Limit said
 	closing  bool
 	done     sync.WaitGroup
 
@@ -75,7 +76,7 @@
 // New returns a server that hands its requests to c.
 func New(c Core, conf Config, bufs *pgwire.Pool, log *slog.Logger) *Server {
 	s := &Server{core: c, log: log, conf: conf, bufs: bufs,
-		classes: map[string]int{}, tenants: map[string]int{}, conns: map[*conn]bool{}}
+		classes: map[string]int{}, tenants: map[string]int{}, conns: map[*conn]bool{}, most: conf.Max}
 	if s.conf.Claims == nil {
 		s.conf.Claims = call.NewClaims()
 	}
@@ -126,7 +127,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case len(s.conns) < s.conf.Max, len(s.conns) < s.conf.Max+s.conf.Spare/2 && s.makeRoom():
+	case len(s.conns) < s.most, len(s.conns) < s.most+s.conf.Spare/2 && s.makeRoom():
 		s.conns[c] = true
 	case s.refusing < (s.conf.Spare+1)/2:
 		s.refusing++
@@ -225,6 +226,14 @@
 	c.spoke = true
 }
 
+// Limit has the server hold so many client connections at most from now on. Those that are open stay until they are
+// idle.
+func (s *Server) Limit(most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.most = most
+}
+
 // Quiesce has connections end as they fall idle, what was taken answered, and new ones after one answer; or has the
 // server go on as ever. Unlike Shutdown it can be taken back.
 func (s *Server) Quiesce(yes bool) {
--- a/internal/pgmember/pool.go
+++ b/internal/pgmember/pool.go
@@ -80,6 +80,14 @@
 // Sizes tells how long the tables are. It is the owner's to call.
 func (p *Pool) Sizes() Sizes { return Sizes{len(p.members), p.open, len(p.jobs)} }
 
+// Limit has the pool hold so many connections at most from now on; idle ones above that are closed. It is the owner's
+// to call.
+func (p *Pool) Limit(most int) {
+	p.conf.Max = most
+	for n := p.open - most; n > 0 && p.evict(); n-- {
+	}
+}
+
 // List takes addresses and who is wanted.
 func (p *Pool) List(kind decide.EventKind, list []core.Listed) {
 	named := map[string]bool{}
--- a/internal/pgwire/buf.go
+++ b/internal/pgwire/buf.go
@@ -18,11 +18,29 @@
 type Pool struct {
 	mu   sync.Mutex
 	free []*Buf
-	left int
+	left int // that may still be made; below 0 more are in use than Limit allows
+	most int
 }
 
 // NewPool returns a pool of at most n buffers, which are made as needed.
-func NewPool(n int) *Pool { return &Pool{left: n} }
+func NewPool(n int) *Pool { return &Pool{left: n, most: n} }
+
+// Limit has the pool hold so many buffers at most from now on. Those in use above that are dropped as they come back.
+func (p *Pool) Limit(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.left += n - p.most
+	p.most = n
+	p.trim()
+}
+
+func (p *Pool) trim() {
+	for p.left < 0 && len(p.free) > 0 {
+		p.free[len(p.free)-1] = nil
+		p.free = p.free[:len(p.free)-1]
+		p.left++
+	}
+}
 
 // Get returns a buffer, or nil when all are in use.
 func (p *Pool) Get() *Buf {
@@ -33,7 +51,7 @@
 		p.free = p.free[:n-1]
 		return b
 	}
-	if p.left == 0 {
+	if p.left <= 0 {
 		return nil
 	}
 	p.left--
@@ -45,6 +63,7 @@
 	defer p.mu.Unlock()
 	b.B = b.B[:0]
 	p.free = append(p.free, b)
+	p.trim()
 }
 
 // Free returns how many buffers may still be had.
