Clients' connections pass to the successor instead of being closed

Change: at SIGTERM a process gives each connection that stands before a command, or has not begun, to the ready successor over a socket in the shared folder (SCM_RIGHTS); what is on its way waits in the connection.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -269,7 +269,7 @@
 		Max: share.Clients, Spare: int(sparePart * float64(share.Sockets)),
 		ComeBack:  c.Decide.MaxRetryAfter,
 		Keep:      int(bufferReserve * float64(share.Buffers)),
-		StartWait: startWait, WriteWait: writeWait, RefuseWait: refuseWait, IdleMost: idleMost, IdleKeep: int(idlePart * float64(share.Sockets)), Claims: g.claims}, bufs, log)
+		StartWait: startWait, WriteWait: writeWait, RefuseWait: refuseWait, IdleMost: idleMost, IdleKeep: int(idlePart * float64(share.Sockets)), Pass: line.passes(), Claims: g.claims}, bufs, log)
 	if line != nil {
 		line.apply = g.limit(bufs, share)
 		go line.run(share.Sockets)
@@ -302,7 +302,7 @@
 	failed := make(chan error, 1)
 	g.line.warm(term.Done())
 	go func() { failed <- g.front.Serve(listener) }()
-	g.line.ready()
+	g.line.ready(g.front.Adopt)
 	log.Info("serving", "name", c.Name, "listen", listener.Addr().String(), "members", len(c.Known), "version", g.o.Version)
 
 	select {
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -20,6 +20,8 @@
 	"reachwind/internal/core"
 	"reachwind/internal/discovery"
 	"reachwind/internal/handover"
+	"reachwind/internal/often"
+	"reachwind/internal/pgfront"
 	"reachwind/internal/pgwire"
 )
 
@@ -74,12 +76,15 @@
 // succession is this process's part in the replacement of one process by another: it shares what binds both. See
 // docs/design/handover.md. A nil succession shares nothing and costs nothing.
 type succession struct {
-	board  *handover.Board
-	log    *slog.Logger
-	now    func() core.Time
-	addr   string // of discovery
-	memory int64
-	done   chan struct{}
+	board   *handover.Board
+	log     *slog.Logger
+	now     func() core.Time
+	addr    string // of discovery
+	memory  int64
+	done    chan struct{}
+	failing often.Line
+	passed  atomic.Int64
+	kept    atomic.Int64
 
 	floor   atomic.Int64 // what session reads must see where commits can't be shared; forever while another lives
 	others  atomic.Int32
@@ -89,6 +94,8 @@
 	changed func() // state that another process changed is to be read
 
 	mu      sync.Mutex
+	adopt   func(net.Conn, bool) // takes over a connection; nil: not serving yet
+	end     func()               // of taking connections over; nil: not begun
 	listed  map[string]core.Listed
 	version func() int64 // of the list
 	pending bool         // a save is on, or will be
@@ -141,8 +148,12 @@
 	if s == nil || kind == decide.ListError {
 		return
 	}
-	if kind == decide.ListFull {
-		s.once.Do(func() { close(s.heard) })
+	news := len(members) > 0
+	if kind != decide.ListSaved {
+		s.once.Do(func() {
+			news = true
+			close(s.heard)
+		})
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -156,7 +167,7 @@
 			s.listed[m.ID] = m
 		}
 	}
-	if kind == decide.ListSaved || len(members) == 0 {
+	if kind == decide.ListSaved || !news {
 		return
 	}
 	if s.again = s.pending; !s.pending {
@@ -216,6 +227,13 @@
 	if was := s.others.Swap(n); was != n {
 		s.log.Info("handover: processes of this gateway", "others", n)
 	}
+	if n == 0 && !s.board.Shared() {
+		if err := s.board.Share(); err != nil {
+			s.failing.Warn(s.log, "handover: still nothing can be shared", "err", err)
+		} else {
+			s.receive()
+		}
+	}
 	shared := s.board.Shared()
 	for _, o := range others {
 		shared = shared && o.Shares
@@ -268,10 +286,17 @@
 }
 
 func (s *succession) stop() {
-	if s != nil {
-		close(s.done)
-		s.board.Ready(false)
+	if s == nil {
+		return
+	}
+	close(s.done)
+	s.board.Ready(false)
+	s.mu.Lock()
+	if s.end != nil {
+		s.end()
 	}
+	s.mu.Unlock()
+	s.log.Info("handover: ending", "passed_on", s.passed.Load(), "not_passed_on", s.kept.Load())
 }
 
 // descriptors is how many this process holds.
@@ -303,10 +328,51 @@
 	}
 }
 
-// ready says that this process serves.
-func (s *succession) ready() {
+// ready says that this process serves, and takes over the connections of those that end.
+func (s *succession) ready(adopt func(net.Conn, bool)) {
 	if s != nil {
-		s.board.Ready(true)
+		s.mu.Lock()
+		s.adopt = adopt
+		s.mu.Unlock()
+		s.receive()
+	}
+}
+
+// receive begins to take connections over, once this process serves and has a board.
+func (s *succession) receive() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.adopt == nil || !s.board.Shared() {
+		return
+	}
+	if s.end != nil {
+		return
+	}
+	stop, err := s.board.Receive(s.adopt)
+	if err != nil {
+		s.log.Warn("handover: clients' connections can't be taken over", "err", err)
+	}
+	s.end = stop
+	s.board.Ready(true)
+}
+
+// passes gives this process's connections to its successor, nil if there can't be one.
+func (s *succession) passes() pgfront.Pass {
+	if s == nil {
+		return nil
+	}
+	p := s.board.Passer()
+	var mu sync.Mutex
+	return func(nc net.Conn, began bool) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		err := p.Pass(nc, began)
+		if err == nil {
+			s.passed.Add(1)
+		} else if s.kept.Add(1) == 1 {
+			s.log.Warn("handover: connections are closed when they are idle", "err", err)
+		}
+		return err == nil
 	}
 }
 
--- a/internal/handover/board.go
+++ b/internal/handover/board.go
@@ -69,13 +69,14 @@
 	lock  *os.File
 	slot  int
 	birth uint64
-	mem   []byte // nil: this process runs without a board, and only knows who lives
-	at    *[words]atomic.Uint64
+	file  uint64                               // which file the board is, as the lock file has it for each place
+	at    atomic.Pointer[[words]atomic.Uint64] // nil: this process runs without a board, and only knows who lives
 }
 
 // Other is what a process of the same gateway says of itself.
 type Other struct {
 	Shares bool // it uses the board; else nothing more is known of it
+	Birth  uint64
 	Older  bool
 	Ready  bool
 	Used   int    // descriptors
@@ -100,30 +101,54 @@
 		_ = f.Close()
 		return nil, &StateError{lockName, ErrCrowd, "end processes of former upgrades that were left running"}
 	}
+	b.tell(0)
+	return b, b.Share()
+}
+
+// Share takes part in the board, if this process does not yet and if it can.
+func (b *Board) Share() error {
+	if b.Shared() {
+		return nil
+	}
 	release, err := b.claim(lockMaking)
 	if err != nil {
-		return b, &StateError{boardName, err, "end the process that was stopped while it started"}
+		return &StateError{boardName, err, "end the process that was stopped while it started"}
 	}
 	defer release()
 	err = b.attach()
 	if err != nil && !b.Alone() && !errors.Is(err, ErrMissing) {
-		return b, &StateError{boardName, err, "nothing: it is replaced once the other process has ended"}
+		return &StateError{boardName, err, "nothing: it is replaced once the other process has ended"}
 	}
 	if err != nil {
 		if err = b.make(); err == nil {
 			err = b.attach()
 		}
 		if err != nil {
-			return b, &StateError{boardName, err, "give the folder room for 64 KB"}
+			return &StateError{boardName, err, "give the folder room for 64 KB"}
 		}
 	}
 	b.own(slotBirth).Store(0) // the place's former holder's words count no more
 	for i := slotBirth + 1; i < slotWords; i++ {
 		b.own(i).Store(0)
 	}
-	b.birth = b.at[wordBirths].Add(1)
+	b.birth = b.at.Load()[wordBirths].Add(1)
 	b.own(slotBirth).Store(b.birth)
-	return b, nil
+	b.tell(b.file)
+	return nil
+}
+
+// tell notes in the lock file which board this process uses, 0 = none: one that was put in its place is another.
+func (b *Board) tell(file uint64) {
+	_, _ = b.lock.WriteAt(binary.LittleEndian.AppendUint64(nil, file), int64(b.slot*8))
+}
+
+// uses is the board that the process at a place uses.
+func (b *Board) uses(slot int) uint64 {
+	var w [8]byte
+	if _, err := b.lock.ReadAt(w[:], int64(slot*8)); err != nil {
+		return 0
+	}
+	return binary.LittleEndian.Uint64(w[:])
 }
 
 // make writes a whole new board and puts it in place of what is there.
@@ -179,10 +204,16 @@
 	case info.Size() < words*8:
 		return ErrTorn
 	}
-	if b.mem, err = unix.Mmap(int(f.Fd()), 0, words*8, unix.PROT_READ|unix.PROT_WRITE, unix.MAP_SHARED); err != nil {
+	var stat unix.Stat_t
+	if err := unix.Fstat(int(f.Fd()), &stat); err != nil {
+		return err
+	}
+	mem, err := unix.Mmap(int(f.Fd()), 0, words*8, unix.PROT_READ|unix.PROT_WRITE, unix.MAP_SHARED)
+	if err != nil {
 		return err
 	}
-	b.at = (*[words]atomic.Uint64)(unsafe.Pointer(&b.mem[0]))
+	b.file = stat.Ino
+	b.at.Store((*[words]atomic.Uint64)(unsafe.Pointer(&mem[0])))
 	return nil
 }
 
@@ -190,7 +221,7 @@
 func (b *Board) Close() { _ = b.lock.Close() }
 
 // Shared tells whether the board can be used.
-func (b *Board) Shared() bool { return b.at != nil }
+func (b *Board) Shared() bool { return b.at.Load() != nil }
 
 // hold takes a byte of the lock file, for as long as this process lives or until it is dropped.
 func (b *Board) hold(at int) error {
@@ -234,11 +265,12 @@
 		if i == b.slot || !b.lives(i) {
 			continue
 		}
-		o := Other{Older: b.at == nil}
-		if b.at != nil {
-			s := b.at[slotAt+i*slotWords:]
+		at := b.at.Load()
+		o := Other{Older: at == nil}
+		if at != nil && b.uses(i) == b.file {
+			s := at[slotAt+i*slotWords:]
 			if birth := s[slotBirth].Load(); birth != 0 {
-				o = Other{true, birth < b.birth, s[slotReady].Load() != 0, int(s[slotUsed].Load()), s[slotSaw].Load()}
+				o = Other{true, birth, birth < b.birth, s[slotReady].Load() != 0, int(s[slotUsed].Load()), s[slotSaw].Load()}
 			}
 		}
 		all = append(all, o)
@@ -246,11 +278,11 @@
 	return all
 }
 
-func (b *Board) own(word int) *atomic.Uint64 { return &b.at[slotAt+b.slot*slotWords+word] }
+func (b *Board) own(word int) *atomic.Uint64 { return &b.at.Load()[slotAt+b.slot*slotWords+word] }
 
 // Ready says whether this process can serve.
 func (b *Board) Ready(yes bool) {
-	if b.at != nil {
+	if b.Shared() {
 		n := uint64(0)
 		if yes {
 			n = 1
@@ -261,7 +293,7 @@
 
 // Used says how many descriptors this process holds.
 func (b *Board) Used(n int) {
-	if b.at != nil {
+	if b.Shared() {
 		b.own(slotUsed).Store(uint64(n))
 	}
 }
@@ -277,10 +309,11 @@
 // Commit notes that a session's write was committed at p, as time since the start of Unix time. It must be called
 // before the write is answered.
 func (b *Board) Commit(group int64, session string, p time.Duration) {
-	if b.at == nil || p <= 0 {
+	at := b.at.Load()
+	if at == nil || p <= 0 {
 		return
 	}
-	w := &b.at[word(group, session)]
+	w := &at[word(group, session)]
 	for {
 		was := w.Load()
 		if was >= uint64(p) || w.CompareAndSwap(was, uint64(p)) {
@@ -292,8 +325,9 @@
 // Committed is a time up to which a session's reads must see: that of its last commit in any process, or later.
 // 0 = it has none.
 func (b *Board) Committed(group int64, session string) time.Duration {
-	if b.at == nil {
+	at := b.at.Load()
+	if at == nil {
 		return 0
 	}
-	return time.Duration(b.at[word(group, session)].Load())
+	return time.Duration(at[word(group, session)].Load())
 }
--- a/internal/handover/file.go
+++ b/internal/handover/file.go
@@ -113,23 +113,25 @@
 	if err := b.Save(name, next); err != nil {
 		return 0, err
 	}
-	if b.at == nil {
+	at := b.at.Load()
+	if at == nil {
 		return 0, nil
 	}
-	return b.at[wordBans].Add(1), nil
+	return at[wordBans].Add(1), nil
 }
 
 // Changes is the count of changes that any process made.
 func (b *Board) Changes() uint64 {
-	if b.at == nil {
+	at := b.at.Load()
+	if at == nil {
 		return 0
 	}
-	return b.at[wordBans].Load()
+	return at[wordBans].Load()
 }
 
 // Saw says that this process has taken over all changes up to count.
 func (b *Board) Saw(count uint64) {
-	if b.at != nil {
+	if b.Shared() {
 		b.own(slotSaw).Store(count)
 	}
 }
--- a/internal/lab/proc/proc.go
+++ b/internal/lab/proc/proc.go
@@ -75,7 +75,13 @@
 
 // Run starts a program and waits until its log holds ready and an address after listen=.
 func Run(binary string, args []string, ready string) (*Gateway, error) {
+	return With(binary, args, ready, nil, nil)
+}
+
+// With is Run, which waits for nothing where ready is empty, with more in the environment and further open files, from descriptor 3 on.
+func With(binary string, args []string, ready string, env []string, files []*os.File) (*Gateway, error) {
 	g := &Gateway{cmd: exec.Command(binary, args...), log: new(tail), done: make(chan struct{})}
+	g.cmd.Env, g.cmd.ExtraFiles = append(os.Environ(), env...), files
 	g.cmd.Stderr = g.log
 	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := g.cmd.Start(); err != nil {
@@ -85,6 +91,9 @@
 		g.err = g.cmd.Wait()
 		close(g.done)
 	}()
+	if ready == "" {
+		return g, nil
+	}
 	for range 1000 {
 		if _, rest, ok := strings.Cut(g.Log(), ready); ok {
 			if _, rest, ok = strings.Cut(rest, "listen="); ok {
@@ -109,6 +118,9 @@
 	return g.log.buf.String()
 }
 
+// Ended is closed when the process has ended.
+func (g *Gateway) Ended() <-chan struct{} { return g.done }
+
 // Pid is the process's number.
 func (g *Gateway) Pid() int { return g.cmd.Process.Pid }
 
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -138,12 +138,18 @@
 	if err := c.woken(); err != nil {
 		return err
 	}
-	if c.stopping && c.Quiet() {
+	if c.stopping && c.parts(true) {
 		return errSevered
 	}
 	return nil
 }
 
+// parts tells whether a stopping connection, of which nothing is in the reader, can be let go here: another process
+// has taken it over, with whatever comes on it, or nothing has come.
+func (c *conn) parts(began bool) bool {
+	return c.R.Buffered() == 0 && c.s.pass(c.Conn.Conn, began) || c.Quiet()
+}
+
 // startup reads the startup message and welcomes the client.
 func (c *conn) startup() error {
 	wait := c.patience()
@@ -152,7 +158,7 @@
 	}
 	defer c.limit(wait)()
 	woken := func() error {
-		if err := c.woken(); err != nil || !c.stopping {
+		if err := c.woken(); err != nil || !c.stopping || !c.parts(false) {
 			return err
 		}
 		return errSevered
@@ -161,6 +167,7 @@
 		return err
 	}
 	c.s.heard(c)
+	woken = c.woken // what it has begun to send is read here
 	for {
 		head, err := c.Peek(4, woken)
 		if err != nil {
@@ -204,7 +211,7 @@
 
 // next reads one message and answers it.
 func (c *conn) next() error {
-	if c.stopping && c.Quiet() {
+	if c.stopping && c.parts(true) {
 		return errSevered
 	}
 	c.s.idle(c)
--- a/internal/pgfront/server.go
+++ b/internal/pgfront/server.go
@@ -33,9 +33,14 @@
 	RefuseWait time.Duration // how long a refused connection may linger
 	IdleMost   time.Duration // a connection idle for longer is ended,
 	IdleKeep   int           // and the longest idle where so many are
+	Pass       Pass          // nil: no other process takes connections over
 	Claims     *call.Claims  // ids in work, shared with other fronts; nil: none are
 }
 
+// Pass gives a client's connection to another process that goes on with it, and tells whether it has. The connection
+// began if its startup is over; it stands before a command then. It may be called from many goroutines.
+type Pass func(nc net.Conn, began bool) bool
+
 // Core is the part of the core that a front uses.
 type Core interface {
 	Now() core.Time
@@ -60,6 +65,7 @@
 	refusing int
 	most     int // conf.Max, or what Limit said
 	closing  bool
+	passing  bool // closing for good
 	done     sync.WaitGroup
 
 	refused, closed, broken, full often.Line
@@ -128,7 +134,6 @@
 	defer s.mu.Unlock()
 	switch {
 	case len(s.conns) < s.most, len(s.conns) < s.most+s.conf.Spare/2 && s.makeRoom():
-		s.conns[c] = true
 	case s.refusing < (s.conf.Spare+1)/2:
 		s.refusing++
 		c.refuse = true
@@ -138,13 +143,50 @@
 		_ = nc.Close()
 		return
 	}
+	s.serve(c, false)
+}
+
+// pass gives a connection to another process, if this one ends and there is one.
+func (s *Server) pass(nc net.Conn, began bool) bool {
+	s.mu.Lock()
+	passing := s.passing && s.conf.Pass != nil
+	s.mu.Unlock()
+	return passing && s.conf.Pass(nc, began)
+}
+
+// Adopt serves a connection that another process passed on. It was within the limits there, which both keep
+// together; it counts here from now on.
+func (s *Server) Adopt(nc net.Conn, began bool) {
+	c := newConn(s, nc)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) >= s.conf.Max+s.conf.Spare || s.closing {
+		s.closed.Warn(s.log, "client closed: too many connections", "open", len(s.conns))
+		_ = nc.Close()
+		return
+	}
+	if began {
+		c.spoke, c.due = true, time.Time{}
+	}
+	s.serve(c, began)
+}
+
+// serve runs a connection in the background. The caller holds the lock.
+func (s *Server) serve(c *conn, began bool) {
+	if !c.refuse {
+		s.conns[c] = true
+	}
 	if s.closing {
 		c.Leave(message{stop: true})
 	}
 	s.done.Add(1)
 	go func() {
 		defer s.done.Done()
-		c.serve()
+		if began {
+			c.serveFrom(nil)
+		} else {
+			c.serve()
+		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.conns, c)
@@ -258,7 +300,7 @@
 // returns when none is left.
 func (s *Server) Shutdown() {
 	s.mu.Lock()
-	s.closing = true
+	s.closing, s.passing = true, true
 	for c := range s.conns {
 		c.Leave(message{stop: true})
 	}
