A door for operators: ready, and db machines taken out and called back

Need: staff ask over HTTP whether a gateway can serve, and take single db machines out; discovery's word must not bring those back. internal/suspend keeps what operators said and passes suspended members on as draining, internal/opsdoor answers on admin_addr with its own goroutines and bound of connections. The owner runs each change; a yes is written once it is in force, a no in 0.7 s at most.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -18,6 +18,7 @@
 // Config is a gateway's configuration, read and checked.
 type Config struct {
 	Name, Listen, Discovery string
+	Admin                   string // where operators call; empty: nowhere
 	Known                   []core.Listed
 	Decide                  *decide.Config
 
@@ -56,16 +57,17 @@
 		}
 		Known    discovery.List
 		Settings json.RawMessage
+		Admin    string `json:"admin_addr"`
 	}
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, err
 	}
-	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, version: f.Known.Generation,
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Admin: f.Admin, version: f.Known.Generation,
 		memory: int64(f.Limits.Memory * (1 << 20)), sockets: f.Limits.Sockets}
 	for _, v := range []struct {
 		to   *string
 		name string
-	}{{&c.Name, "NODE_NAME"}, {&c.Listen, "NODE_LISTEN"}, {&c.Discovery, "NODE_DISCOVERY"}} {
+	}{{&c.Name, "NODE_NAME"}, {&c.Listen, "NODE_LISTEN"}, {&c.Discovery, "NODE_DISCOVERY"}, {&c.Admin, "NODE_ADMIN_ADDR"}} {
 		if *v.to == "" {
 			*v.to = env(v.name)
 		}
@@ -76,6 +78,11 @@
 	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
+	if c.Admin != "" {
+		if _, _, err := net.SplitHostPort(c.Admin); err != nil {
+			return nil, fmt.Errorf("admin_addr: %w; want HOST:PORT, or nothing for no door", err)
+		}
+	}
 	if c.sockets == 0 {
 		c.sockets = defaultSockets
 	}
--- a/internal/gateway/edge.go
+++ b/internal/gateway/edge.go
@@ -100,6 +100,10 @@
 		memory, files := e.Fleet.Footprint()
 		b.Parts, b.Files = b.Parts+memory, b.Files+files
 	}
+	if c.Admin != "" {
+		memory, files := c.door().Footprint()
+		b.Parts, b.Files = b.Parts+memory, b.Files+files
+	}
 	b.Sockets = max(leastSockets, c.sockets-b.Files)
 	b.Clients, b.Members = int(clientPart*float64(b.Sockets)), int(memberPart*float64(b.Sockets))
 	b.Buffers = max(buffersLeast, int(bufferPart*float64(max(0, memory-b.Parts)))/pgwire.BufSize)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,7 +109,8 @@
 	front  *pgfront.Server
 	claims *call.Claims
 	parts  []part
-	over   *overlay // nil: nobody agrees on drains
+	over   *overlay   // nil: nobody agrees on drains
+	ops    *operators // nil: operators have no door
 	fleet  *fleet.Fleet
 	most   int                  // client connections
 	door   atomic.Pointer[door] // nil: not serving yet
@@ -213,14 +214,19 @@
 		Grace:   span(f.Rules.StopSendingWithinUs, graceUsual), DrainOnly: f.Rules.DrainBindsAlone,
 		Names: f.Feedback.Names}, bufs, dial, log)
 	list := discovery.Sink(owner.List)
+	var ops *operators
+	if c.Admin != "" {
+		ops = newOperators(c.door(), owner, log)
+		list = ops.List
+	}
 	var over *overlay
 	if edge.Fleet != nil && len(edge.Fleet.Council) > 0 {
-		over = newOverlay(c.Name, owner.List)
+		over = newOverlay(c.Name, list)
 		list = over.List
 	}
 	dir := discovery.New(c.Discovery, c.version, c.Decide.Fronts, list, dial, log)
 	owner.Connect(pool, dir)
-	g := &running{o: o, c: c, router: router, owner: owner, pool: pool, dir: dir, claims: call.NewClaims(), over: over, most: share.Clients}
+	g := &running{o: o, c: c, router: router, owner: owner, pool: pool, dir: dir, claims: call.NewClaims(), over: over, ops: ops, most: share.Clients}
 	if edge.Syslog != nil {
 		p, err := startSyslog(edge.Syslog, owner, c.Decide.ColdTime, o)
 		if err != nil {
@@ -263,6 +269,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	if err := g.ops.start(); err != nil {
+		return err
+	}
+	defer g.ops.stop()
 	go g.owner.Run(ctx)
 	go g.dir.Run(ctx)
 	go func() {
@@ -284,6 +294,7 @@
 		return fmt.Errorf("accept: %w", err)
 	case <-term.Done():
 	}
+	g.ops.leave()
 	accept := acceptAfter
 	if g.fleet != nil { // asks for a permit, and waits for it no longer than configured
 		accept = max(0, accept-g.fleet.Leave(context.Background()))
--- /dev/null
+++ b/internal/gateway/operators.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"reachwind/decide"
+	"reachwind/internal/core"
+	"reachwind/internal/opsdoor"
+	"reachwind/internal/suspend"
+)
+
+const (
+	doorPart  = 16 // of the descriptors there is one of so many for the door, within
+	doorLeast = 8  // so many
+
+	beginWait = 100 * time.Millisecond // for the owner to end what it has begun when the caller's time is up
+)
+
+// door is the configuration of the operators' door.
+func (c *Config) door() opsdoor.Config {
+	return opsdoor.Config{Addr: c.Admin, Most: min(max(c.sockets/doorPart, doorLeast), opsdoor.DefaultMost)}
+}
+
+// operators is the gateway's side of the door: it has the owner do what operators say, and stands between discovery's
+// list, or the council's overlay, and the core.
+type operators struct {
+	owner *core.Core
+	log   *slog.Logger
+	door  *opsdoor.Door
+
+	mu  sync.Mutex // held while the core is told, so that it is told in the order of the changes
+	set *suspend.Set
+
+	taken   atomic.Bool // the owner has taken a list with a member
+	leaving atomic.Bool
+}
+
+func newOperators(conf opsdoor.Config, owner *core.Core, log *slog.Logger) *operators {
+	o := &operators{owner: owner, log: log, set: suspend.New()}
+	o.door = opsdoor.New(conf, o, log)
+	return o
+}
+
+// start opens the door; without one it does nothing, like leave and stop.
+func (o *operators) start() error {
+	if o == nil {
+		return nil
+	}
+	if err := o.door.Start(); err != nil {
+		return err
+	}
+	o.log.Info("operators' door open", "listen", o.door.Addr().String())
+	return nil
+}
+
+// leave has the gateway no longer be ready.
+func (o *operators) leave() {
+	if o != nil {
+		o.leaving.Store(true)
+	}
+}
+
+// stop closes the door.
+func (o *operators) stop() {
+	if o != nil {
+		o.door.Close()
+	}
+}
+
+// List takes what discovery says and passes it on.
+func (o *operators) List(kind decide.EventKind, members []core.Listed) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.owner.List(kind, o.set.List(kind, members))
+	if o.set.Listed() > 0 && !o.taken.Load() {
+		o.owner.Post(func() { o.taken.Store(true) })
+	}
+}
+
+// Ready implements opsdoor.Operator.
+func (o *operators) Ready() error {
+	switch {
+	case o.leaving.Load():
+		return opsdoor.NotReady{Found: "this process is ending", Do: "call the one that replaces it"}
+	case !o.taken.Load():
+		return opsdoor.NotReady{Found: "no list of db machines yet", Do: "look at discovery, or give the configuration a list"}
+	}
+	return nil
+}
+
+// Suspend implements opsdoor.Operator.
+func (o *operators) Suspend(ctx context.Context, id string) error {
+	return o.say(ctx, id, "db machine suspended", (*suspend.Set).Suspend)
+}
+
+// Resume implements opsdoor.Operator.
+func (o *operators) Resume(ctx context.Context, id string) error {
+	return o.say(ctx, id, "db machine resumed", (*suspend.Set).Resume)
+}
+
+// say has the owner do what an operator says of a member, and waits until it is in force. By the end of ctx what the
+// owner did not begin is taken back.
+func (o *operators) say(ctx context.Context, id, line string, do func(*suspend.Set, string, core.Time) ([]core.Listed, error)) error {
+	var begun atomic.Bool // set by whoever comes first: the owner, or the caller who leaves
+	start := time.Now()
+	done := make(chan error, 1)
+	o.owner.Post(func() {
+		if begun.Swap(true) {
+			return
+		}
+		o.mu.Lock()
+		change, err := do(o.set, id, o.owner.Now())
+		if len(change) > 0 {
+			o.owner.List(decide.ListChange, change)
+		}
+		o.mu.Unlock()
+		if err == nil {
+			o.log.Info(line, "member", id, "changes", len(change))
+		}
+		o.owner.Post(func() { done <- err }) // behind the change, so that it is in force
+	})
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	took := opsdoor.NotDone{ID: id, Waited: time.Since(start).Round(time.Millisecond)}
+	if !begun.Swap(true) {
+		return took
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-time.After(beginWait):
+		return opsdoor.Unconfirmed{NotDone: took}
+	}
+}
--- /dev/null
+++ b/internal/opsdoor/opsdoor.go
@@ -0,0 +1,401 @@
+// Package opsdoor is where operators call the gateway: HTTP/1.1 on an address of its own, one call to a connection.
+// It has its own goroutines and its own bound on connections, so that neither clients nor callers that hold
+// connections keep an operator from an answer.
+package opsdoor
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"reachwind/internal/often"
+	"reachwind/internal/suspend"
+)
+
+const (
+	callMost   = 8 << 10                // bytes of a whole call
+	idMost     = 256                    // bytes of a db machine's id
+	wholeWait  = 10 * time.Second       // for a whole call, from the connection's start
+	answerWait = 600 * time.Millisecond // for what the operator's call does
+	writeWait  = time.Second
+	lingerWait = 300 * time.Millisecond // for the caller to close, so that its answer is not lost by a reset
+	retryPause = 20 * time.Millisecond  // after an accept that failed
+	// A connection costs its goroutine, a small buffer and what the parser holds meanwhile.
+	connMemory = 16 << 10
+)
+
+// Config holds what the door is told.
+type Config struct {
+	Addr string // to listen on
+	Most int    // connections at a time; 0: DefaultMost
+}
+
+// DefaultMost are the connections at a time where nothing else is said.
+const DefaultMost = 64
+
+// Footprint is the most that the door holds: bytes, and descriptors with its listener.
+func (c Config) Footprint() (memory int64, files int) {
+	n := c.most()
+	return int64(n) * connMemory, n + 2 // one more is open while another is closed to make room
+}
+
+func (c Config) most() int {
+	if c.Most <= 0 {
+		return DefaultMost
+	}
+	return c.Most
+}
+
+// Operator does what is asked for. Its methods return by the end of their context, where they have one, or at once.
+type Operator interface {
+	// Ready tells whether this process can serve: nil is yes.
+	Ready() error
+	// Suspend takes a db machine out: nil means that it is in force.
+	Suspend(ctx context.Context, id string) error
+	// Resume has it used again.
+	Resume(ctx context.Context, id string) error
+}
+
+// NotReady is the error for a process that can't serve.
+type NotReady struct {
+	Found string
+	Do    string
+}
+
+func (e NotReady) Error() string {
+	return fmt.Sprintf("not ready: %s; want a process that accepts clients and has a list of db machines; %s", e.Found, e.Do)
+}
+
+// NotDone is the error for a call that was not done in time, and will not be.
+type NotDone struct {
+	ID     string
+	Waited time.Duration
+}
+
+func (e NotDone) Error() string {
+	return fmt.Sprintf("db machine %q: the gateway did not come to it within %v, want an answer in that time; nothing was changed, call again", e.ID, e.Waited)
+}
+
+// Unconfirmed is the error for a call that was begun and not seen to be in force in time.
+type Unconfirmed struct{ NotDone }
+
+func (e Unconfirmed) Error() string {
+	return fmt.Sprintf("db machine %q: the gateway began with it, and it was not in force within %v, want it to be in that time; it will be soon, "+
+		"call again until the answer is yes", e.ID, e.Waited)
+}
+
+// badCall is the error for a call whose form is wrong.
+type badCall struct {
+	status           int
+	found, want, fix string
+}
+
+func (e badCall) Error() string { return fmt.Sprintf("%s; want %s; %s", e.found, e.want, e.fix) }
+
+// Calls are the calls there are, as errors name them.
+const Calls = "GET /v1/readyz, POST /v1/db-machines/ID/suspend or POST /v1/db-machines/ID/resume"
+
+// status is the HTTP status that an answer comes with.
+func status(err error) int {
+	var bad badCall
+	switch {
+	case err == nil:
+		return http.StatusOK
+	case errors.As(err, &bad):
+		return bad.status
+	case errors.As(err, new(suspend.UnknownMachine)):
+		return http.StatusNotFound
+	}
+	return http.StatusServiceUnavailable
+}
+
+// Door is the listener with its connections.
+type Door struct {
+	conf Config
+	op   Operator
+	log  *slog.Logger
+	l    net.Listener
+
+	mu     sync.Mutex
+	conns  []*conn // the oldest first
+	closed bool
+	done   sync.WaitGroup
+
+	failing, room, refused often.Line
+}
+
+// conn is one connection. Its stage belongs to the door's lock.
+type conn struct {
+	net.Conn
+	stage stage
+}
+
+// stage is how far a connection has come.
+type stage int
+
+const (
+	incomplete stage = iota // without a whole call
+	working                 // its call is being answered
+	answered                // nothing is owed
+)
+
+// New returns a door that asks op. It does nothing before Start.
+func New(conf Config, op Operator, log *slog.Logger) *Door {
+	return &Door{conf: conf, op: op, log: log}
+}
+
+// Start listens and begins to answer.
+func (d *Door) Start() error {
+	l, err := net.Listen("tcp", d.conf.Addr)
+	if err != nil {
+		return fmt.Errorf("admin_addr: can't listen on %q: %w; want a free address of this machine; name another one or end who has it", d.conf.Addr, err)
+	}
+	d.l = l
+	d.done.Add(1)
+	go d.accept()
+	return nil
+}
+
+// Addr is where the door listens, once started.
+func (d *Door) Addr() net.Addr { return d.l.Addr() }
+
+// Close ends the door with all its connections.
+func (d *Door) Close() {
+	d.mu.Lock()
+	d.closed = true
+	_ = d.l.Close()
+	for _, c := range d.conns {
+		_ = c.Close()
+	}
+	d.mu.Unlock()
+	d.done.Wait()
+}
+
+func (d *Door) accept() {
+	defer d.done.Done()
+	for {
+		nc, err := d.l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // out of descriptors, most likely, or a caller that left early
+			d.failing.Warn(d.log, "operators' accept failed", "err", err)
+			time.Sleep(retryPause)
+			continue
+		}
+		if c := d.admit(nc); c != nil {
+			go d.serve(c)
+		}
+	}
+}
+
+// admit takes a connection in. At the bound it closes the one that has been longest without a whole call, or one that
+// has its answer; where all are being answered it is the new one, which is told to come again.
+func (d *Door) admit(nc net.Conn) *conn {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		_ = nc.Close()
+		return nil
+	}
+	if len(d.conns) >= d.conf.most() {
+		i := d.victim()
+		if i < 0 {
+			err := badCall{http.StatusServiceUnavailable, fmt.Sprintf("%d calls are being answered", len(d.conns)), "fewer at a time", "call again"}
+			_ = nc.SetWriteDeadline(time.Now().Add(retryPause))
+			_, _ = nc.Write(answer(err, false))
+			_ = nc.Close()
+			d.room.Warn(d.log, "operators' call refused: too many at a time", "open", len(d.conns))
+			return nil
+		}
+		if d.conns[i].stage == incomplete {
+			d.room.Warn(d.log, "operators' connection closed: no whole call, and another needs the room", "open", len(d.conns), "remote", d.conns[i].RemoteAddr())
+		}
+		_ = d.conns[i].Close()
+		d.conns = slices.Delete(d.conns, i, i+1)
+	}
+	c := &conn{Conn: nc}
+	d.conns = append(d.conns, c)
+	d.done.Add(1)
+	return c
+}
+
+// victim is whom to close for another one, -1 for nobody.
+func (d *Door) victim() int {
+	late := -1
+	for i, c := range d.conns {
+		switch {
+		case c.stage == answered:
+			return i
+		case c.stage == incomplete && late < 0 && !unread(c.Conn):
+			late = i
+		}
+	}
+	for i, c := range d.conns {
+		if late < 0 && c.stage == incomplete {
+			late = i
+		}
+	}
+	return late
+}
+
+// unread tells that bytes have come which nobody has read yet: they may make the call whole.
+func unread(c net.Conn) (some bool) {
+	if sc, ok := c.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) {
+				n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+				some = err == nil && n > 0
+			})
+		}
+	}
+	return some
+}
+
+// move notes how far a connection has come, and tells whether it is still open.
+func (d *Door) move(c *conn, s stage) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c.stage = s
+	return slices.Contains(d.conns, c)
+}
+
+// serve reads one call and answers it.
+func (d *Door) serve(c *conn) {
+	defer d.done.Done()
+	defer func() {
+		_ = c.Close()
+		d.mu.Lock()
+		d.conns = slices.DeleteFunc(d.conns, func(o *conn) bool { return o == c })
+		d.mu.Unlock()
+	}()
+	_ = c.SetReadDeadline(time.Now().Add(wholeWait))
+	call, err := read(c)
+	if err != nil && !errors.As(err, new(badCall)) {
+		return // it left
+	}
+	if !d.move(c, working) {
+		return // it was closed to make room: its answer would not arrive, so nothing is done
+	}
+	if err == nil {
+		err = d.do(call)
+	}
+	head := call != nil && call.Method == http.MethodHead
+	_ = c.SetWriteDeadline(time.Now().Add(writeWait))
+	_, werr := c.Write(answer(err, head))
+	d.move(c, answered)
+	if err != nil {
+		args := []any{"remote", c.RemoteAddr(), "status", status(err), "err", err}
+		if call != nil {
+			args = append(args, "method", call.Method, "path", call.URL.Path)
+		}
+		d.refused.Info(d.log, "operator's call answered no", args...)
+	}
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok && werr == nil && w.CloseWrite() == nil {
+		_ = c.SetReadDeadline(time.Now().Add(lingerWait))
+		_, _ = io.CopyN(io.Discard, c, callMost)
+	}
+}
+
+// do has the operator do what a call asks for.
+func (d *Door) do(call *http.Request) error {
+	verb, id, err := route(call.Method, call.URL)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), answerWait)
+	defer cancel()
+	switch verb {
+	case "suspend":
+		return d.op.Suspend(ctx, id)
+	case "resume":
+		return d.op.Resume(ctx, id)
+	}
+	return d.op.Ready()
+}
+
+// route finds what a call asks for: readyz, or suspend or resume with a db machine's id.
+func route(method string, u *url.URL) (verb, id string, err error) {
+	path := u.EscapedPath()
+	want := http.MethodPost
+	if path == "/v1/readyz" {
+		verb, want = "readyz", http.MethodGet
+	} else {
+		rest, ok := strings.CutPrefix(path, "/v1/db-machines/")
+		id, verb, _ = strings.Cut(rest, "/")
+		if !ok || verb != "suspend" && verb != "resume" {
+			return "", "", badCall{http.StatusNotFound, fmt.Sprintf("there is no %.100q", path), Calls, "mend the path"}
+		}
+		plain, err := url.PathUnescape(id)
+		if err != nil || plain == "" || len(plain) > idMost {
+			return "", "", badCall{http.StatusBadRequest, fmt.Sprintf("the id %.100q is no id of a db machine", id),
+				fmt.Sprintf("1 to %d bytes as discovery lists them", idMost), "mend the id"}
+		}
+		id = plain
+	}
+	if method != want {
+		return "", "", badCall{http.StatusMethodNotAllowed, fmt.Sprintf("the method is %.20q", method), want, "call it with " + want}
+	}
+	return verb, id, nil
+}
+
+// read reads one whole call, with a body where it has one, which is not looked at.
+func read(c net.Conn) (*http.Request, error) {
+	in := &io.LimitedReader{R: c, N: callMost}
+	call, err := http.ReadRequest(bufio.NewReaderSize(in, 1024))
+	if err == nil {
+		if strings.EqualFold(call.Header.Get("Expect"), "100-continue") {
+			_ = c.SetWriteDeadline(time.Now().Add(writeWait))
+			_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+		}
+		_, err = io.Copy(io.Discard, call.Body)
+	}
+	var late net.Error
+	switch {
+	case err == nil && call.ProtoMajor == 1:
+		return call, nil
+	case err == nil:
+		err = errors.New("version " + call.Proto)
+	case in.N <= 0:
+		return nil, badCall{http.StatusBadRequest, fmt.Sprintf("the call is longer than %d bytes", callMost), "a shorter one", "leave out headers and body"}
+	case errors.As(err, &late) && late.Timeout():
+		return nil, badCall{http.StatusRequestTimeout, fmt.Sprintf("no whole call in %v", wholeWait), "one call at once", "look at the caller"}
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &late):
+		return nil, err
+	}
+	return nil, badCall{http.StatusBadRequest, fmt.Sprintf("this is no HTTP/1.1 call (%.100s)", err), Calls, "mend the caller"}
+}
+
+// answer is a whole answer, a yes for nil.
+func answer(err error, head bool) []byte {
+	text := "yes\n"
+	if err != nil {
+		text = err.Error() + "\n"
+	}
+	code := status(err)
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n", code, http.StatusText(code), len(text))
+	var bad badCall
+	if errors.As(err, &bad) && code == http.StatusMethodNotAllowed {
+		fmt.Fprintf(&b, "Allow: %s\r\n", bad.want)
+	}
+	b.WriteString("\r\n")
+	if !head {
+		b.WriteString(text)
+	}
+	return b.Bytes()
+}
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -87,6 +87,8 @@
 	frozen  int64 // position that it stands at while cut off from the log, 0 = it follows
 	started int64
 
+	took int
+
 	Served, Probes, Refused int
 }
 
@@ -199,6 +201,13 @@
 	return all
 }
 
+// Took is how many requests and probes have reached a member.
+func (c *Cluster) Took(m *Member) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return m.took
+}
+
 // Primary is a group's primary, nil without one.
 func (c *Cluster) Primary(group int64) *Member {
 	c.mu.Lock()
--- a/internal/standin/cluster/serve.go
+++ b/internal/standin/cluster/serve.go
@@ -100,6 +100,7 @@
 func (m *Member) answer(out []byte, buf *pgwire.Buf) []byte {
 	m.c.mu.Lock()
 	hang := m.hang
+	m.took++
 	m.c.mu.Unlock()
 	switch {
 	case hang:
