Merge the operators' door; what operators said binds both processes of an upgrade

Need: a db machine that was taken out stays out over an upgrade and in both processes.

Change: what operators said is kept in a sealed file, merged by the later word; its count on the board tells the other process, which says when it has taken it over before the yes goes out (at most 250 ms). Ready means that clients are accepted.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,7 +115,8 @@
 	front  *pgfront.Server
 	claims *call.Claims
 	parts  []part
-	over   *overlay // nil: nobody agrees on drains
+	over   *overlay   // nil: nobody agrees on drains
+	ops    *operators // nil: operators have no door
 	fleet  *fleet.Fleet
 	line   *succession          // nil: no other process takes this one's place
 	most   int                  // client connections
@@ -222,9 +223,19 @@
 	list := discovery.Sink(owner.List)
 	line := succeed(o.Handover, c, owner.Now, log)
 	line.inherit(c)
+	var ops *operators
+	if c.Admin != "" {
+		ops = newOperators(c.door(), owner, log)
+		ops.line = line
+		list = ops.List
+		if line != nil {
+			line.changed = ops.inherit
+			ops.inherit(0)
+		}
+	}
 	var over *overlay
 	if edge.Fleet != nil && len(edge.Fleet.Council) > 0 {
-		over = newOverlay(c.Name, owner.List)
+		over = newOverlay(c.Name, list)
 		list = over.List
 	}
 	if line != nil {
@@ -240,7 +251,7 @@
 		line.version = dir.Version
 	}
 	owner.Connect(pool, dir)
-	g := &running{o: o, c: c, router: router, owner: owner, pool: pool, dir: dir, claims: call.NewClaims(), over: over, line: line, most: share.Clients}
+	g := &running{o: o, c: c, router: router, owner: owner, pool: pool, dir: dir, claims: call.NewClaims(), over: over, line: line, ops: ops, most: share.Clients}
 	if edge.Syslog != nil {
 		p, err := startSyslog(edge.Syslog, owner, c.Decide.ColdTime, o)
 		if err != nil {
@@ -287,6 +298,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	if err := g.ops.start(); err != nil {
+		return err
+	}
+	defer g.ops.stop()
 	go g.owner.Run(ctx)
 	go g.dir.Run(ctx)
 	go func() {
@@ -303,6 +318,7 @@
 	g.line.warm(term.Done())
 	go func() { failed <- g.front.Serve(listener) }()
 	g.line.ready(g.front.Adopt)
+	g.ops.serve()
 	log.Info("serving", "name", c.Name, "listen", listener.Addr().String(), "members", len(c.Known), "version", g.o.Version)
 
 	select {
@@ -310,6 +326,7 @@
 		return fmt.Errorf("accept: %w", err)
 	case <-term.Done():
 	}
+	g.ops.leave()
 	accept := acceptAfter
 	if g.line.succeeded() { // who comes from now on waits for the other on the socket that both hold
 		accept = 0
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -23,6 +24,7 @@
 	"reachwind/internal/often"
 	"reachwind/internal/pgfront"
 	"reachwind/internal/pgwire"
+	"reachwind/internal/suspend"
 )
 
 const (
@@ -32,7 +34,12 @@
 	warmMost     = 1500 * time.Millisecond // a successor waits so long for discovery before it accepts: the other still serves
 	warmLeast    = 3 * lookAlone           // and so long in any case, till the other has seen it
 
-	listFile = "reachwind.list"
+	listFile    = "reachwind.list"
+	machineFile = "reachwind.machines" // what operators said of db machines
+
+	takeWait  = 250 * time.Millisecond // for another process to take over what operators said
+	takeLeast = 50 * time.Millisecond
+	readEach  = 5 // looks between two readings of that where changes can't be counted
 )
 
 // SocketError says that the listening socket that the platform holds can't be used.
@@ -91,7 +98,7 @@
 	heard   chan struct{} // closed with the first whole list of discovery
 	once    sync.Once
 	apply   func(part float64, sockets int)
-	changed func() // state that another process changed is to be read
+	changed func(count uint64) // what operators said is to be read, and then count to be said to be seen
 
 	mu      sync.Mutex
 	adopt   func(net.Conn, bool) // takes over a connection; nil: not serving yet
@@ -220,6 +227,8 @@
 	return at
 }
 
+const forever = 1<<63 - 1 // floor while another process lives that does not share
+
 // look sees who else lives, and takes the consequences.
 func (s *succession) look() []handover.Other {
 	others := s.board.Others()
@@ -238,7 +247,6 @@
 	for _, o := range others {
 		shared = shared && o.Shares
 	}
-	const forever = 1<<63 - 1
 	switch f := s.floor.Load(); {
 	case !shared && n > 0:
 		s.floor.Store(forever)
@@ -253,12 +261,9 @@
 	last, ticks, seen := sockets, 0, uint64(0)
 	for {
 		others := s.look()
-		if n := s.board.Changes(); n != seen {
-			if s.changed != nil {
-				s.changed()
-			}
+		if n := s.board.Changes(); s.changed != nil && (n != seen || s.floor.Load() == forever && ticks%readEach == 0) {
+			s.changed(n)
 			seen = n
-			s.board.Saw(n)
 		}
 		wait := lookAlone
 		if len(others) > 0 {
@@ -310,6 +315,72 @@
 	return len(names)
 }
 
+// inherit takes over what operators said to other processes, and then says that it has seen count changes.
+func (o *operators) inherit(count uint64) {
+	all, err := o.line.said()
+	if err != nil && !errors.Is(err, handover.ErrMissing) {
+		o.log.Error("handover: what operators said to other processes is not known", "err", err)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	change, dropped := o.set.Import(all)
+	if dropped > 0 {
+		o.log.Error("handover: some db machines that operators took out are not known here", "entries", dropped)
+	}
+	if len(change) > 0 {
+		o.owner.List(decide.ListChange, change)
+		o.log.Info("handover: db machines taken out or called back through another process", "changes", len(change))
+	}
+	o.owner.Post(func() { o.line.board.Saw(count) })
+}
+
+// said reads what operators said, to any process.
+func (s *succession) said() (all []suspend.Entry, err error) {
+	text, err := s.board.Load(machineFile)
+	if err == nil {
+		err = json.Unmarshal(text, &all)
+	}
+	return all, err
+}
+
+// share has the other processes of this gateway know what operators said here, err being how that went. While one
+// lives it waits until they have taken it over, but not for long: one that does not run does not send either, and
+// reads it first when it goes on.
+func (o *operators) share(ctx context.Context, err error) error {
+	if err != nil || o.line == nil {
+		return err
+	}
+	count, err := o.line.board.Change(machineFile, func(was []byte) ([]byte, error) {
+		var all []suspend.Entry
+		if was != nil {
+			if err := json.Unmarshal(was, &all); err != nil {
+				o.log.Error("handover: what operators said to other processes is not known", "err", err)
+			}
+		}
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		whole := suspend.New()
+		whole.Import(all)
+		whole.Import(o.set.Export())
+		return json.Marshal(whole.Export())
+	})
+	if err != nil {
+		o.log.Error("handover: what operators said is not kept for the next process", "err", err)
+		if o.line.others.Load() > 0 {
+			return err
+		}
+		return nil
+	}
+	wait := takeWait
+	if until, ok := ctx.Deadline(); ok {
+		wait = min(max(time.Until(until), takeLeast), takeWait)
+	}
+	if !o.line.board.Await(count, wait) {
+		o.log.Warn("handover: another process has not yet said that it took this over", "waited", wait)
+	}
+	return nil
+}
+
 // warm waits before the first accept while another process serves: for discovery's list, but not for long.
 func (s *succession) warm(term <-chan struct{}) {
 	if s == nil || s.others.Load() == 0 {
