--- a/internal/lab/proc/proc.go
+++ b/internal/lab/proc/proc.go
@@ -140,8 +140,13 @@
 	case <-g.done:
 		return g.err
 	case <-time.After(within):
-		g.Kill()
-		return errors.New("the gateway did not end in time")
+		g.Signal(syscall.SIGQUIT) // so that it tells where it stands
+		select {
+		case <-g.done:
+		case <-time.After(time.Second):
+			g.Kill()
+		}
+		return fmt.Errorf("the gateway did not end in time: %s", g.Log())
 	}
 }
 
--- a/internal/standin/collector/book.go
+++ b/internal/standin/collector/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sort"
 	"strconv"
 	"sync"
@@ -156,6 +157,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.sum
+	s.Kinds, s.Outcomes = maps.Clone(s.Kinds), maps.Clone(s.Outcomes)
 	for _, one := range b.streams {
 		s.Missing += one.last - one.first + 1 - uint64(len(one.seen))
 		s.Told += one.told
