--- a/internal/gateway/operators_test.go
+++ b/internal/gateway/operators_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -14,6 +15,9 @@
 	"testing"
 	"time"
 
+	"reachwind/decide"
+	"reachwind/internal/core"
+	"reachwind/internal/opsdoor"
 	"reachwind/internal/standin/cluster"
 	"reachwind/internal/standin/pgclient"
 )
@@ -199,3 +203,29 @@
 		}
 	}
 }
+
+// TestStalledOwner: an owner that does not come to it in time leaves the operator with a no, and does nothing later.
+func TestStalledOwner(t *testing.T) {
+	owner := core.New(core.NewClock(), nil, slog.New(slog.DiscardHandler))
+	o := newOperators(opsdoor.Config{}, owner, slog.New(slog.DiscardHandler))
+	o.set.List(decide.ListFull, []core.Listed{{Member: decide.Member{ID: "m"}}})
+	short, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	if err := o.Suspend(short, "m"); !errors.As(err, new(opsdoor.NotDone)) {
+		t.Errorf("from a stalled owner: %v", err)
+	}
+	if err := o.Ready(); err == nil {
+		t.Error("ready without a list")
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ran := make(chan struct{})
+	owner.Post(func() { close(ran) })
+	over := make(chan struct{})
+	go func() { owner.Run(ctx); close(over) }()
+	<-ran
+	stop()
+	<-over
+	if ids := o.set.Suspended(); len(ids) > 0 {
+		t.Errorf("after a no, %v are suspended", ids)
+	}
+}
--- a/internal/suspend/suspend.go
+++ b/internal/suspend/suspend.go
@@ -192,7 +192,11 @@
 
 // say notes e and returns the change that it makes to the list.
 func (s *Set) say(e Entry) []core.Listed {
-	was := s.said[e.ID].Out
+	m, ok := s.listed[e.ID]
+	if !ok {
+		m, ok = s.left[e.ID]
+	}
+	before, was := s.as(m), s.said[e.ID].Out
 	s.said[e.ID] = e
 	if e.Out != was {
 		s.out++
@@ -209,13 +213,10 @@
 		}
 		delete(s.said, oldest.ID)
 	}
-	m, ok := s.listed[e.ID]
-	if !ok {
-		if m, ok = s.left[e.ID]; !ok {
-			return nil
-		}
+	if m = s.as(m); !ok || m == before {
+		return nil
 	}
-	return []core.Listed{s.as(m)}
+	return []core.Listed{m}
 }
 
 // Export is all that was said, by id.
@@ -232,9 +233,7 @@
 		case e.ID == "" || e.Out && !was.Out && s.out >= Most:
 			dropped++
 		case !ok || e.At > was.At:
-			if c := s.say(e); e.Out != was.Out {
-				change = append(change, c...)
-			}
+			change = append(change, s.say(e)...)
 		}
 	}
 	return change, dropped
