--- a/internal/opsdoor/opsdoor.go
+++ b/internal/opsdoor/opsdoor.go
@@ -34,6 +34,7 @@
 	writeWait  = time.Second
 	lingerWait = 300 * time.Millisecond // for the caller to close, so that its answer is not lost by a reset
 	retryPause = 20 * time.Millisecond  // after an accept that failed
+	roomWait   = 200 * time.Millisecond // for a connection that was told to make room
 	// A connection costs its goroutine, a small buffer and what the parser holds meanwhile.
 	connMemory = 16 << 10
 )
@@ -41,7 +42,7 @@
 // Config holds what the door is told.
 type Config struct {
 	Addr string // to listen on
-	Most int    // connections at a time; 0: DefaultMost
+	Most int    // connections at a time, and half as many that are about to end; 0: DefaultMost
 }
 
 // DefaultMost are the connections at a time where nothing else is said.
@@ -50,7 +51,7 @@
 // Footprint is the most that the door holds: bytes, and descriptors with its listener.
 func (c Config) Footprint() (memory int64, files int) {
 	n := c.most()
-	return int64(n) * connMemory, n + 2 // one more is open while another is closed to make room
+	return int64(n+n/2) * connMemory, n + n/2 + 2
 }
 
 func (c Config) most() int {
@@ -134,11 +135,12 @@
 	conns  []*conn // the oldest first
 	closed bool
 	done   sync.WaitGroup
+	freed  chan struct{} // a connection ended
 
 	failing, room, refused often.Line
 }
 
-// conn is one connection. Its stage belongs to the door's lock.
+// conn is one connection. Its stage is changed under the door's lock.
 type conn struct {
 	net.Conn
 	stage stage
@@ -149,13 +151,14 @@
 
 const (
 	incomplete stage = iota // without a whole call
+	leaving                 // told to make room, unless its call proves whole
 	working                 // its call is being answered
 	answered                // nothing is owed
 )
 
 // New returns a door that asks op. It does nothing before Start.
 func New(conf Config, op Operator, log *slog.Logger) *Door {
-	return &Door{conf: conf, op: op, log: log}
+	return &Door{conf: conf, op: op, log: log, freed: make(chan struct{}, 1)}
 }
 
 // Start listens and begins to answer.
@@ -203,54 +206,73 @@
 	}
 }
 
-// admit takes a connection in. At the bound it closes the one that has been longest without a whole call, or one that
-// has its answer; where all are being answered it is the new one, which is told to come again.
+// admit takes a connection in. At the bound the one that has been longest without a whole call is told to make room; its
+// goroutine closes it, unless it finds a whole call in what it has read by then. Where too many are about to end,
+// or all are being answered, the new one waits for a moment, and is then told to come again.
 func (d *Door) admit(nc net.Conn) *conn {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.closed {
-		_ = nc.Close()
-		return nil
-	}
-	if len(d.conns) >= d.conf.most() {
-		i := d.victim()
-		if i < 0 {
-			err := badCall{http.StatusServiceUnavailable, fmt.Sprintf("%d calls are being answered", len(d.conns)), "fewer at a time", "call again"}
+	most := d.conf.most()
+	for late := time.Now().Add(roomWait); ; {
+		d.mu.Lock()
+		n := len(d.conns)
+		if d.closed {
+			d.mu.Unlock()
+			_ = nc.Close()
+			return nil
+		}
+		if n >= most {
+			d.makeRoom(n - most + 1)
+		}
+		if n < most+most/2 {
+			c := &conn{Conn: nc}
+			_ = c.SetReadDeadline(time.Now().Add(wholeWait))
+			d.conns = append(d.conns, c)
+			d.done.Add(1)
+			d.mu.Unlock()
+			return c
+		}
+		d.mu.Unlock()
+		left := time.Until(late)
+		if left <= 0 {
+			err := badCall{http.StatusServiceUnavailable, fmt.Sprintf("%d calls are being answered", n), "fewer at a time", "call again"}
 			_ = nc.SetWriteDeadline(time.Now().Add(retryPause))
 			_, _ = nc.Write(answer(err, false))
 			_ = nc.Close()
-			d.room.Warn(d.log, "operators' call refused: too many at a time", "open", len(d.conns))
+			d.room.Warn(d.log, "operators' call refused: too many at a time", "open", n)
 			return nil
 		}
-		if d.conns[i].stage == incomplete {
-			d.room.Warn(d.log, "operators' connection closed: no whole call, and another needs the room", "open", len(d.conns), "remote", d.conns[i].RemoteAddr())
+		wait := time.NewTimer(left)
+		select {
+		case <-d.freed:
+		case <-wait.C:
 		}
-		_ = d.conns[i].Close()
-		d.conns = slices.Delete(d.conns, i, i+1)
+		wait.Stop()
 	}
-	c := &conn{Conn: nc}
-	d.conns = append(d.conns, c)
-	d.done.Add(1)
-	return c
 }
 
-// victim is whom to close for another one, -1 for nobody.
-func (d *Door) victim() int {
-	late := -1
-	for i, c := range d.conns {
+// makeRoom has so many connections about to end: those that have their answer, and then the one that has been longest
+// without a whole call. One with bytes that nobody has read yet is told last: they may make its call whole. The
+// caller holds the lock.
+func (d *Door) makeRoom(want int) {
+	var late *conn
+	for _, c := range d.conns {
 		switch {
-		case c.stage == answered:
-			return i
-		case c.stage == incomplete && late < 0 && !unread(c.Conn):
-			late = i
+		case c.stage == answered, c.stage == leaving:
+			_ = c.SetReadDeadline(time.Now())
+			want--
+		case c.stage == incomplete && late == nil && !unread(c.Conn):
+			late = c
 		}
 	}
-	for i, c := range d.conns {
-		if late < 0 && c.stage == incomplete {
-			late = i
+	for _, c := range d.conns {
+		if late == nil && c.stage == incomplete {
+			late = c
 		}
 	}
-	return late
+	if late != nil && want > 0 {
+		late.stage = leaving
+		_ = late.SetReadDeadline(time.Now())
+		d.room.Warn(d.log, "operators' connection closed: no whole call, and another needs the room", "open", len(d.conns), "remote", late.RemoteAddr())
+	}
 }
 
 // unread tells that bytes have come which nobody has read yet: they may make the call whole.
@@ -266,12 +288,13 @@
 	return some
 }
 
-// move notes how far a connection has come, and tells whether it is still open.
-func (d *Door) move(c *conn, s stage) bool {
+// move notes how far a connection has come, and returns how far it had.
+func (d *Door) move(c *conn, s stage) stage {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	was := c.stage
 	c.stage = s
-	return slices.Contains(d.conns, c)
+	return was
 }
 
 // serve reads one call and answers it.
@@ -282,14 +305,17 @@
 		d.mu.Lock()
 		d.conns = slices.DeleteFunc(d.conns, func(o *conn) bool { return o == c })
 		d.mu.Unlock()
+		select {
+		case d.freed <- struct{}{}:
+		default:
+		}
 	}()
-	_ = c.SetReadDeadline(time.Now().Add(wholeWait))
 	call, err := read(c)
 	if err != nil && !errors.As(err, new(badCall)) {
 		return // it left
 	}
-	if !d.move(c, working) {
-		return // it was closed to make room: its answer would not arrive, so nothing is done
+	if was := d.move(c, working); was == leaving && err != nil {
+		return // it had to make room
 	}
 	if err == nil {
 		err = d.do(call)
@@ -297,7 +323,6 @@
 	head := call != nil && call.Method == http.MethodHead
 	_ = c.SetWriteDeadline(time.Now().Add(writeWait))
 	_, werr := c.Write(answer(err, head))
-	d.move(c, answered)
 	if err != nil {
 		args := []any{"remote", c.RemoteAddr(), "status", status(err), "err", err}
 		if call != nil {
@@ -307,6 +332,7 @@
 	}
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok && werr == nil && w.CloseWrite() == nil {
 		_ = c.SetReadDeadline(time.Now().Add(lingerWait))
+		d.move(c, answered)
 		_, _ = io.CopyN(io.Discard, c, callMost)
 	}
 }
