--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -91,6 +91,9 @@
 	for range min(looksMost, len(all)) {
 		g.looks++
 		m := all[g.looks%len(all)]
+		if g.ops.out(m.ID) {
+			continue
+		}
 		go func() {
 			c, err := net.DialTimeout("tcp", m.Addr, connectUsual)
 			r := decide.Served
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -81,6 +81,16 @@
 	}
 }
 
+// out tells whether a member is suspended: then not even a look at it is taken.
+func (o *operators) out(id string) bool {
+	if o == nil {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.set.Out(id)
+}
+
 // Ready implements opsdoor.Operator.
 func (o *operators) Ready() error {
 	switch {
--- a/internal/opsdoor/opsdoor.go
+++ b/internal/opsdoor/opsdoor.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -35,6 +36,7 @@
 	lingerWait = 300 * time.Millisecond // for the caller to close, so that its answer is not lost by a reset
 	retryPause = 20 * time.Millisecond  // after an accept that failed
 	roomWait   = 200 * time.Millisecond // for a connection that was told to make room
+	lastWait   = 50 * time.Millisecond  // for the rest of a call, of a connection that was told so with bytes unread
 	// A connection costs its goroutine, a small buffer and what the parser holds meanwhile.
 	connMemory = 16 << 10
 )
@@ -144,6 +146,18 @@
 type conn struct {
 	net.Conn
 	stage stage
+	last  bool // its reader's: it was past its time once
+}
+
+// Read implements io.Reader. A deadline that is past hides what has come: that is read first.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.last && unread(c.Conn) {
+		c.last = true
+		_ = c.SetReadDeadline(time.Now().Add(lastWait))
+		n, err = c.Conn.Read(b)
+	}
+	return n, err
 }
 
 // stage is how far a connection has come.
--- a/internal/suspend/suspend.go
+++ b/internal/suspend/suspend.go
@@ -239,6 +239,9 @@
 	return change, dropped
 }
 
+// Out tells whether a member is suspended.
+func (s *Set) Out(id string) bool { return s.said[id].Out }
+
 // Suspended are the ids of the members that are suspended, sorted.
 func (s *Set) Suspended() (ids []string) {
 	for _, e := range s.Export() {
