--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -246,7 +246,8 @@
 			next(kind, members)
 		}
 	}
-	dir := discovery.New(c.Discovery, c.version, c.Decide.Fronts, list, dial, log)
+	dir := discovery.New(discovery.Config{Addr: c.Discovery, Version: c.version, Gateways: c.Decide.Fronts, Seed: c.seed,
+		Pushed: !c.Decide.AskList}, list, dial, log)
 	if line != nil {
 		line.version = dir.Version
 	}
