--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -84,6 +84,7 @@
 	attempts []*Attempt
 	out      int
 	ended    bool
+	begun    bool // its answer is being passed on: no time limit ends it
 }
 
 // Attempt is one try of a request at a member.
@@ -95,6 +96,8 @@
 	no      int
 	sent    Time
 	done    bool
+	stopped bool // given up, unless its answer had begun
+	first   Time // when its answer began, of one that passes through
 
 	// For records: how it ended, and what its member told.
 	result   decide.Result
@@ -220,6 +223,22 @@
 	})
 }
 
+// Begun tells that the answer of an attempt has begun and will be passed on as it comes. The client gets body as its
+// answer, and the attempt is the client's now: its time-out and the client's deadline no longer run. Done follows
+// as ever. Body is released instead if the attempt was given up or the client has left.
+func (c *Core) Begun(a *Attempt, body Payload) {
+	c.Post(func() {
+		q := a.Request
+		if a.done || a.stopped || q.ended {
+			body.Release()
+			return
+		}
+		q.begun, a.first = true, c.Now()
+		c.events = append(c.events, decide.Event{Kind: decide.FirstByte, Request: q.id, Member: a.Member, Attempt: a.no})
+		q.Client.Answer(Answer{Verdict: Served, Body: body})
+	})
+}
+
 // Done ends an attempt.
 func (c *Core) Done(a *Attempt, o Outcome) { c.Post(func() { c.done(a, o) }) }
 
@@ -331,7 +350,7 @@
 	}
 	c.events = append(c.events, e)
 	c.After(q.Until+deadlineSlack, func() {
-		if !q.ended { // guards the rule that each taken request gets an answer in time
+		if !q.ended && !q.begun { // guards the rule that each taken request gets an answer in time
 			c.log.Warn("deadline passed unanswered", "request", q.id)
 			c.events = append(c.events, decide.Event{Kind: decide.ClientGone, Request: q.id})
 			c.finish(q, Answer{Verdict: Failed, MayHaveRun: q.mayHaveRun()}, record.Deadline)
@@ -347,7 +366,9 @@
 		}
 		return
 	}
-	q.Client.Answer(a)
+	if !q.begun { // else it has its answer, whole or not
+		q.Client.Answer(a)
+	}
 	if c.witness != nil {
 		c.witness.Ended(q.Class, a.Verdict, c.Now()-q.arrived)
 	}
@@ -394,7 +415,7 @@
 		return
 	}
 	q := a.Request
-	if o.Result == decide.Served && q.AtLeast > 0 && o.Stamped && o.Position < q.AtLeast {
+	if o.Result == decide.Served && !q.begun && q.AtLeast > 0 && o.Stamped && o.Position < q.AtLeast {
 		// It was primary when it was last heard of, and is a replica now that lacks what this read must see: as good
 		// as a member that turned it away, and it is tried elsewhere.
 		o.Result = decide.NotHere
@@ -415,14 +436,20 @@
 		c.witness.Answered(a.Member)
 	}
 	e := decide.Event{Kind: decide.Outcome, Request: q.id, Member: a.Member, Attempt: a.no, Result: o.Result,
-		Elapsed: c.Now() - a.sent, Ended: q.ended || o.Result == decide.Served, Reused: o.Reused,
+		Elapsed: c.Now() - a.sent, Ended: q.ended || q.begun || o.Result == decide.Served, Reused: o.Reused,
 		Role: o.Role, Stamped: o.Stamped, Position: o.Position, Report: o.Report}
+	if a.first != 0 { // how fast the client takes the rest is not the member's
+		e.Elapsed = a.first - a.sent
+	}
 	c.events = append(c.events, e)
 	if o.Stamped {
 		c.watch.learn(a.Member, o.Position)
 	}
-	if o.Result == decide.Served {
+	switch {
+	case o.Result == decide.Served:
 		c.finish(q, Answer{Verdict: Served, Body: o.Body, Position: a.position}, record.NoCause)
+	case q.begun:
+		c.finish(q, Answer{Verdict: Failed, MayHaveRun: true}, record.NoCause)
 	}
 	c.forget(q)
 }
@@ -435,7 +462,7 @@
 		c.send(q, a)
 	case decide.Cancel:
 		if q != nil && a.Attempt < len(q.attempts) && !q.attempts[a.Attempt].done {
-			c.members.Stop(q.attempts[a.Attempt], decide.Cancelled)
+			c.stop(q.attempts[a.Attempt], decide.Cancelled)
 		}
 	case decide.Refuse:
 		if q != nil {
@@ -488,12 +515,17 @@
 	}
 	c.members.Send(at)
 	c.After(at.Until, func() {
-		if !at.done {
-			c.members.Stop(at, decide.TimedOut)
+		if !at.done && !q.begun {
+			c.stop(at, decide.TimedOut)
 		}
 	})
 }
 
+func (c *Core) stop(a *Attempt, why decide.Result) {
+	a.stopped = true
+	c.members.Stop(a, why)
+}
+
 type timer struct {
 	at Time
 	f  func()
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -24,6 +24,8 @@
 	answer  core.Answer
 	stop    bool // close once idle
 	expire  int  // the time for this read is up
+	passed  bool // the answer has passed through; tail is what is left of it, nil: it is not whole
+	tail    []byte
 }
 
 // conn is one client connection.
@@ -50,6 +52,7 @@
 	errTooSlow  = errors.New("message took too long to come")
 	errSevered  = errors.New("stopping")
 	errProtocol = errors.New("protocol violation")
+	errCut      = errors.New("answer cut short")
 	errInUse    = errors.New("a request with this id is in work")
 )
 
@@ -321,9 +324,47 @@
 		c.s.core.Gone(q)
 		return err
 	}
+	if s, ok := m.answer.Body.(*pgwire.Stream); ok {
+		return c.pass(q, s)
+	}
 	return c.answer(m.answer)
 }
 
+// pass has an answer pass through. The connection's sending side is lent to the member's goroutine meanwhile; the read
+// goes on, and sees the client leave.
+func (c *conn) pass(q *core.Request, s *pgwire.Stream) error {
+	s.Start(&lent{c: c, end: time.Now().Add(passMost)}, func(tail []byte) {
+		c.Leave(message{request: q, passed: true, tail: tail})
+	})
+	m, err := c.await(q)
+	switch {
+	case err != nil:
+		c.s.core.Gone(q)
+		return err
+	case m.tail == nil: // the client sees that it is not whole by the connection's end
+		return errCut
+	}
+	return c.write(pgwire.AppendReady(m.tail))
+}
+
+const passMost = time.Minute // that an answer may take to pass through, whatever the pace of the client and the member
+
+// lent is the sending side of a client's connection while an answer passes through.
+type lent struct {
+	c   *conn
+	end time.Time
+}
+
+// Write writes all of b, or fails: the client must take it within the time for an answer, and the whole by end.
+func (l *lent) Write(b []byte) (int, error) {
+	until := time.Now().Add(l.c.s.conf.WriteWait)
+	if until.After(l.end) {
+		until = l.end
+	}
+	_ = l.c.SetWriteDeadline(until)
+	return l.c.Conn.Conn.Write(b)
+}
+
 // text reads the n bytes of a query into a buffer; there may be none left for it.
 func (c *conn) text(n int) (*pgwire.Buf, error) {
 	if n <= c.R.Size() { // guards against clients that send half a statement and so keep a buffer
--- a/internal/pgmember/conn.go
+++ b/internal/pgmember/conn.go
@@ -30,6 +30,7 @@
 	readSize    = 4 << 10
 	answerParts = 64                     // messages in one answer
 	stallWait   = 100 * time.Millisecond // a member that pauses for so long within an answer won't end it
+	passWait    = 5 * time.Second        // the same for one that passes through, which cannot be tried elsewhere
 )
 
 // order is a message to a connection: run job, stop it, look for a stall in
@@ -58,6 +59,8 @@
 	errClosed   = errors.New("closed")
 	errStalled  = errors.New("answer stalled")
 	errSpoilt   = errors.New("answer out of order")
+	errNotTaken = errors.New("answer taken by nobody")
+	errClient   = errors.New("client takes no more of the answer")
 	errNoBuffer = errors.New("out of buffers")
 )
 
@@ -238,20 +241,33 @@
 			case o.stop:
 				why = o.why
 				return errStopped
-			case o.stall && c.Quiet():
-				return errStalled
 			case o.stall:
 				a.watched = false
+				if quiet := c.Quiet(); quiet && time.Since(a.last) >= a.patience() {
+					return errStalled
+				} else if quiet {
+					c.watch(a, c.R.Size())
+				}
 			}
 		}
 		return nil
 	})
+	if a.tail != nil && !a.ready || a.code != "" {
+		a.tail = nil
+	}
+	if a.done != nil {
+		a.done(a.tail)
+	}
 	switch {
+	case errors.Is(err, errClient), errors.Is(err, errNotTaken):
+		return core.Outcome{Result: decide.Cancelled}
 	case errors.Is(err, pgwire.ErrTooLong), errors.Is(err, pgwire.ErrMalformed), errors.Is(err, errSpoilt), errors.Is(err, errStalled),
 		errors.Is(err, errNoBuffer):
 		// The member has run it, and is there: but for this answer nothing is amiss. Nor is what it tells believed.
 		c.p.spoilt.Warn(c.p.log, "answer spoilt", "member", c.m.id, "err", err)
 		return core.Outcome{Result: decide.Errored}
+	case a.done != nil && a.code != "": // whatever the code says, it has run
+		o.Result = decide.Errored
 	case a.code != "" || a.complete:
 		o.Result = outcomeOf(a)
 	default:
@@ -302,8 +318,14 @@
 	row     []byte      // the value, within buf
 	described,
 	complete bool // RowDescription, CommandComplete came
-	code     string // of an ErrorResponse
-	ready    bool   // ReadyForQuery came
+	code  string // of an ErrorResponse
+	ready bool   // ReadyForQuery came
+
+	// Of one that passes through.
+	done func(tail []byte) // tells the client's side of the end; nil: it is held whole
+	tail []byte            // CommandComplete
+	last time.Time         // when some of it came, or had been passed on
+
 	role     decide.Role
 	stamped  bool
 	position core.Time
@@ -325,12 +347,18 @@
 		if err != nil {
 			return err
 		}
+		if a.large(head) {
+			if err := c.pass(a, woken); err != nil {
+				return err
+			}
+			continue
+		}
 		typ, n, err := pgwire.Header(head)
 		if err != nil {
 			return err
 		}
 		body := small[:]
-		keep := a.job != nil && (typ == 'T' || typ == 'D' || typ == 'C')
+		keep := a.job != nil && a.done == nil && (typ == 'T' || typ == 'D' || typ == 'C')
 		if keep && a.buf == nil {
 			if a.buf = c.p.bufs.Get(); a.buf == nil {
 				return errNoBuffer
@@ -352,6 +380,7 @@
 			body = body[:n]
 		}
 		_, _ = c.R.Discard(5)
+		a.last = time.Now()
 		c.watch(a, n)
 		if err := c.Fill(body, woken); err != nil {
 			return err
@@ -365,6 +394,71 @@
 
 const readyForQuery = "Z\x00\x00\x00\x05I"
 
+// patience is how long the member may pause within the answer.
+func (a *answer) patience() time.Duration {
+	if a.done != nil {
+		return passWait
+	}
+	return stallWait
+}
+
+// large tells whether head begins a row that must pass through. One that answers a call of another protocol can't.
+func (a *answer) large(head []byte) bool {
+	if a.job == nil || a.job.attempt == nil || !a.described || a.row != nil || a.code != "" || !pgwire.Large(head) {
+		return false
+	}
+	_, ok := a.job.attempt.Request.Call.(*pgwire.Statement)
+	return ok
+}
+
+// pass passes a row on as it comes, and what came before it. From its begin on no other attempt can answer.
+func (c *conn) pass(a *answer, woken func() error) error {
+	a.last = time.Now()
+	c.watch(a, pgwire.RowHead)
+	head, err := c.Peek(pgwire.RowHead, woken)
+	if err != nil {
+		return err
+	}
+	left, err := pgwire.RowLen(head)
+	if err != nil {
+		return err
+	}
+	s := pgwire.NewStream()
+	c.p.core.Begun(a.job.attempt, s)
+	w, done := s.Taken()
+	if w == nil {
+		if err := woken(); err != nil { // what it was stopped for
+			return err
+		}
+		return errNotTaken
+	}
+	a.done, a.row = done, head[:0]
+	a.buf.B = append(a.buf.B, head...)
+	_, _ = c.R.Discard(len(head))
+	_, err = w.Write(a.buf.B)
+	a.buf.Release()
+	a.buf = nil
+	for err == nil && left > 0 {
+		a.last = time.Now()
+		c.watch(a, 1)
+		if _, err := c.Peek(1, woken); err != nil {
+			return err
+		}
+		var chunk []byte
+		if chunk, err = c.R.Peek(min(left, c.R.Buffered())); err != nil {
+			return err
+		}
+		left -= len(chunk)
+		_, err = w.Write(chunk)
+		_, _ = c.R.Discard(len(chunk))
+	}
+	if err != nil {
+		return errClient
+	}
+	a.last = time.Now()
+	return nil
+}
+
 // watch has a member noticed that stalls before the next n bytes of an answer it has begun.
 func (c *conn) watch(a *answer, n int) {
 	if a.job == nil || a.watched || c.R.Buffered() >= n {
@@ -372,7 +466,7 @@
 	}
 	a.watched = true
 	j := a.job
-	time.AfterFunc(stallWait, func() { c.Leave(order{job: j, stall: true}) })
+	time.AfterFunc(a.patience(), func() { c.Leave(order{job: j, stall: true}) })
 }
 
 // take takes one message of an answer: RowDescription, DataRow and
@@ -394,6 +488,9 @@
 		a.row, err = pgwire.Column(body)
 	case typ == 'C' && !over && a.row != nil:
 		a.complete, err = true, pgwire.Tag(body)
+		if a.done != nil {
+			a.tail = pgwire.Append(make([]byte, 0, len(body)+11), 'C', string(body))
+		}
 	default:
 		err = errSpoilt
 	}
