Count a member as stalled only once no byte has come for the wait, and test what passes through

A head that came in part never counted as a stall. Now the pause is counted from the last byte read, and looked for again.

--- a/internal/pgmember/conn.go
+++ b/internal/pgmember/conn.go
@@ -243,20 +243,22 @@
 				return errStopped
 			case o.stall:
 				a.watched = false
-				if quiet := c.Quiet(); quiet && time.Since(a.last) >= a.patience() {
+				left := a.patience() - min(c.Silent(), time.Since(a.last))
+				if left <= 0 {
 					return errStalled
-				} else if quiet {
-					c.watch(a, c.R.Size())
 				}
+				c.look(a, left)
 			}
 		}
 		return nil
 	})
-	if a.tail != nil && !a.ready || a.code != "" {
-		a.tail = nil
-	}
-	if a.done != nil {
-		a.done(a.tail)
+	if a.done != nil { // the client's side waits for the end
+		defer func() {
+			if o.Result != decide.Served {
+				a.tail = nil
+			}
+			a.done(a.tail)
+		}()
 	}
 	switch {
 	case errors.Is(err, errClient), errors.Is(err, errNotTaken):
@@ -324,7 +326,7 @@
 	// Of one that passes through.
 	done func(tail []byte) // tells the client's side of the end; nil: it is held whole
 	tail []byte            // CommandComplete
-	last time.Time         // when some of it came, or had been passed on
+	last time.Time         // when some of it had been passed on
 
 	role     decide.Role
 	stamped  bool
@@ -380,7 +382,6 @@
 			body = body[:n]
 		}
 		_, _ = c.R.Discard(5)
-		a.last = time.Now()
 		c.watch(a, n)
 		if err := c.Fill(body, woken); err != nil {
 			return err
@@ -413,7 +414,6 @@
 
 // pass passes a row on as it comes, and what came before it. From its begin on no other attempt can answer.
 func (c *conn) pass(a *answer, woken func() error) error {
-	a.last = time.Now()
 	c.watch(a, pgwire.RowHead)
 	head, err := c.Peek(pgwire.RowHead, woken)
 	if err != nil {
@@ -438,8 +438,7 @@
 	_, err = w.Write(a.buf.B)
 	a.buf.Release()
 	a.buf = nil
-	for err == nil && left > 0 {
-		a.last = time.Now()
+	for a.last = time.Now(); err == nil && left > 0; a.last = time.Now() {
 		c.watch(a, 1)
 		if _, err := c.Peek(1, woken); err != nil {
 			return err
@@ -455,7 +454,6 @@
 	if err != nil {
 		return errClient
 	}
-	a.last = time.Now()
 	return nil
 }
 
@@ -464,9 +462,14 @@
 	if a.job == nil || a.watched || c.R.Buffered() >= n {
 		return
 	}
+	c.look(a, a.patience())
+}
+
+// look has the goroutine look for a stall after so long.
+func (c *conn) look(a *answer, after time.Duration) {
 	a.watched = true
 	j := a.job
-	time.AfterFunc(a.patience(), func() { c.Leave(order{job: j, stall: true}) })
+	time.AfterFunc(after, func() { c.Leave(order{job: j, stall: true}) })
 }
 
 // take takes one message of an answer: RowDescription, DataRow and
--- /dev/null
+++ b/internal/pgmember/pass_test.go
@@ -0,0 +1,220 @@
+package pgmember
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"reachwind/decide"
+	"reachwind/internal/core"
+	"reachwind/internal/pgfront"
+	"reachwind/internal/pgwire"
+)
+
+// twice stands in for the module: it sends each request to m, and once more unless its answer has begun.
+type twice struct {
+	begun, ended map[uint64]int
+	last         decide.Result
+}
+
+func (d *twice) Step(_ core.Time, events []decide.Event, out []decide.Action) []decide.Action {
+	for _, e := range events {
+		switch {
+		case e.Kind == decide.FirstByte:
+			d.begun[e.Request]++
+		case e.Kind == decide.Outcome:
+			d.ended[e.Request]++
+			d.last = e.Result
+			switch {
+			case e.Ended:
+			case d.ended[e.Request] < 2:
+				out = append(out, decide.Action{Kind: decide.Send, Request: e.Request, Member: "m"})
+			default:
+				out = append(out, decide.Action{Kind: decide.Fail, Request: e.Request})
+			}
+		case e.Kind == decide.Arrive:
+			out = append(out, decide.Action{Kind: decide.Send, Request: e.Request, Member: "m", Timeout: 300 * time.Millisecond})
+		case e.Kind == decide.ClientGone:
+			out = append(out, decide.Action{Kind: decide.Cancel, Request: e.Request})
+		}
+	}
+	return out
+}
+
+// fault is what goes wrong with one large answer, at a byte of it or for its client.
+type fault int
+
+const (
+	none fault = iota
+	breaks
+	stalls
+	badHead
+	errorAfter
+	badTag
+	moreAfter
+	leaves
+	deaf
+	faults
+)
+
+// TestPass: a large value in pieces, broken in every way at every place, comes whole or is seen not to be; one outcome
+// for each attempt, none after the first byte, and all is given back.
+func TestPass(t *testing.T) {
+	for seed := range uint64(450) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { pass(t, rand.New(rand.NewPCG(seed, 1)), fault(seed%uint64(faults))) })
+		})
+	}
+}
+
+func pass(t *testing.T, rnd *rand.Rand, f fault) {
+	value := strings.Repeat("0123456789abcdef?", 1+(pgwire.WholeMost+rnd.IntN(100_000))/17)
+	row := "\x00\x01" + string(binary.BigEndian.AppendUint32(nil, uint32(len(value)))) + value
+	head := pgwire.Append(nil, 'T', description)
+	whole := pgwire.Append(bytes.Clone(head), 'D', row)
+	tag := pgwire.Append(nil, 'C', "SELECT 1\x00")
+	note := pgwire.AppendStatus(pgwire.AppendStatus(nil, "recovery", "on"), "lsn_ms", "1767225600123")
+	reply := pgwire.AppendReady(append(append(bytes.Clone(whole), tag...), note...))
+	want := pgwire.AppendReady(append(bytes.Clone(whole), tag...)) // what the client must get
+	at := []int{rnd.IntN(len(reply)), rnd.IntN(80), len(reply) - 1 - rnd.IntN(90)}[rnd.IntN(3)]
+	switch f {
+	case badHead:
+		reply[len(head)+1+rnd.IntN(pgwire.RowHead-1)] ^= 1 << rnd.IntN(8)
+	case errorAfter:
+		reply = pgwire.AppendReady(append(bytes.Clone(whole), pgwire.AppendError(nil, "ERROR", "53300", "no", "")...))
+	case badTag:
+		reply = pgwire.AppendReady(pgwire.Append(bytes.Clone(whole), 'C', "\x01"))
+	case moreAfter:
+		reply = append(reply, whole[:1+rnd.IntN(len(whole)-1)]...)
+	}
+	d := &twice{begun: map[uint64]int{}, ended: map[uint64]int{}}
+	log := slog.New(slog.DiscardHandler)
+	owner := core.New(core.NewClock(), d, log)
+	bufs := pgwire.NewPool(8)
+	var dialled, out atomic.Int32
+	dial := func(context.Context, string) (net.Conn, error) {
+		a, b := net.Pipe()
+		rnd := rand.New(rand.NewPCG(uint64(at), uint64(dialled.Add(1))))
+		out.Add(1)
+		go func() {
+			defer out.Add(-1)
+			defer func() { _ = b.Close() }()
+			buf := make([]byte, 4096)
+			if _, err := b.Read(buf); err != nil { // the startup comes in one write
+				return
+			}
+			_, _ = b.Write(pgwire.AppendReady(pgwire.Append(nil, 'R', "\x00\x00\x00\x00")))
+			for {
+				for text := ""; !strings.HasSuffix(text, "\x00"); {
+					n, err := b.Read(buf)
+					if text += string(buf[:n]); err != nil {
+						return
+					}
+				}
+				for from := 0; from < len(reply); {
+					n := min(1+rnd.IntN(1+rnd.IntN(1<<rnd.IntN(16))), len(reply)-from)
+					if (f == breaks || f == stalls) && from+n > at {
+						n = at - from
+					}
+					if _, err := b.Write(reply[from : from+n]); err != nil {
+						return
+					}
+					if from += n; (f == breaks || f == stalls) && from == at {
+						if f == stalls {
+							_, _ = b.Read(buf) // until the gateway closes
+						}
+						return
+					}
+					if rnd.IntN(50) == 0 {
+						time.Sleep(time.Duration(rnd.IntN(80)) * time.Millisecond)
+					}
+				}
+			}
+		}()
+		return a, nil
+	}
+	pool := New(owner, Config{User: "app", Database: "shop", Max: 4, Idle: 200 * time.Second, Connect: 250 * time.Millisecond,
+		Grace: 250 * time.Millisecond}, bufs, dial, log)
+	owner.Connect(pool, nil)
+	owner.List(decide.ListFull, []core.Listed{{Addr: "a:1", Member: decide.Member{ID: "m", State: decide.Up}}})
+	ctx, cancel := context.WithCancel(t.Context())
+	go owner.Run(ctx)
+	front := pgfront.New(owner, pgfront.Config{Classes: []decide.Class{{Name: "r", Deadline: 400 * time.Millisecond}}, Max: 4,
+		StartWait: time.Second, WriteWait: 5 * time.Second, RefuseWait: time.Second}, bufs, log)
+	a, b := net.Pipe()
+	front.Handle(b)
+	query := pgwire.Append(nil, 'Q', "/* id=1,c=r,d=400,cluster=0 */ SELECT doc FROM items WHERE id = 'k'\x00")
+	var got bytes.Buffer
+	var ended atomic.Bool
+	go func() { _, _ = a.Write(append(pgwire.AppendStartup(nil, "app", "shop"), query...)) }()
+	go func() {
+		buf, left, rnd := make([]byte, 1<<15), at, rand.New(rand.NewPCG(uint64(at), 0))
+		for {
+			n, err := a.Read(buf[:1+rnd.IntN(len(buf))])
+			got.Write(buf[:n])
+			if left -= n; err != nil {
+				ended.Store(true)
+				return
+			}
+			if left <= 0 && (f == leaves || f == deaf) {
+				if f == leaves {
+					_ = a.Close()
+				}
+				return
+			}
+		}
+	}()
+	time.Sleep(time.Minute + 15*time.Second)
+	synctest.Wait()
+
+	_, answer, _ := bytes.Cut(got.Bytes(), []byte("Z\x00\x00\x00\x05I")) // after the welcome
+	begun, served := d.begun[1] > 0, bytes.Equal(answer, want)
+	prefix := bytes.HasPrefix(want, answer) && len(answer) <= len(whole)
+	switch {
+	case d.begun[1] > 1 || d.ended[1] < 1 || d.ended[1] > 2 || len(d.begun) > 1:
+		t.Errorf("begun %v, ended %v", d.begun, d.ended)
+	case f == leaves || f == deaf: // what it had taken is the beginning of the answer
+		if !bytes.HasPrefix(want, answer[:min(len(answer), len(want))]) {
+			t.Errorf("%d bytes, not the answer's", len(answer))
+		}
+	case f == none || f == moreAfter:
+		if !served || ended.Load() || d.last != decide.Served {
+			t.Errorf("%d bytes of %d, ended %v, outcome %d", len(answer), len(want), ended.Load(), d.last)
+		}
+	case f == breaks && served: // after CommandComplete
+	case begun && (!ended.Load() || !prefix || d.last == decide.Served):
+		t.Errorf("begun: %d bytes of %d, ended %v, outcome %d", len(answer), len(want), ended.Load(), d.last)
+	case !begun && (d.ended[1] != 2 || len(answer) == 0 || answer[0] != 'E'):
+		t.Errorf("not begun: %q, %d attempts", answer[:min(len(answer), 40)], d.ended[1])
+	}
+	keeps := int32(0)
+	if f == none || f == errorAfter {
+		keeps = 1
+	}
+	if out.Load() > 1 || f != leaves && f != deaf && out.Load() != keeps {
+		t.Errorf("%d member connections open of %d made, want %d", out.Load(), dialled.Load(), keeps)
+	}
+	_ = a.Close()
+	time.Sleep(10 * time.Second)
+	owner.Post(func() {
+		pool.closeIdle(pool.members["m"], 0)
+		if p, c := pool.Sizes(), owner.Sizes(); p.Jobs != 0 || c.Requests != 0 {
+			t.Errorf("left: %+v %+v", p, c)
+		}
+	})
+	synctest.Wait()
+	if bufs.Free() != 8 || out.Load() != 0 || front.Open() != 0 {
+		t.Errorf("%d of 8 buffers free, %d member connections, %d clients", bufs.Free(), out.Load(), front.Open())
+	}
+	cancel()
+	synctest.Wait()
+}
--- a/internal/wake/wake.go
+++ b/internal/wake/wake.go
@@ -26,6 +26,8 @@
 	net.Conn
 	R *bufio.Reader
 
+	heard time.Time // when bytes were last read; the goroutine's
+
 	mu     sync.Mutex
 	mail   sync.Cond // signalled with each message
 	box    []M
@@ -43,6 +45,9 @@
 // Read reads from the connection; R does so for the goroutine that owns it.
 func (w *Conn[M]) Read(p []byte) (int, error) {
 	n, err := w.Conn.Read(p)
+	if n > 0 {
+		w.heard = time.Now()
+	}
 	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
 		// The order matters: a message left after the reset wakes the next read.
 		if err := w.Conn.SetReadDeadline(time.Time{}); err != nil {
@@ -71,10 +76,18 @@
 // Quiet tells that nothing has come that was not read, neither bytes nor the
 // peer's end. It looks past a read deadline, which hides both. A connection that
 // is no socket counts as quiet once R holds nothing.
-func (w *Conn[M]) Quiet() bool {
-	if w.R.Buffered() > 0 {
-		return false
+func (w *Conn[M]) Quiet() bool { return w.R.Buffered() == 0 && w.dry() }
+
+// Silent returns for how long the peer has sent nothing, 0 if bytes or its end wait to be read.
+func (w *Conn[M]) Silent() time.Duration {
+	if !w.dry() {
+		return 0
 	}
+	return time.Since(w.heard)
+}
+
+// dry tells that nothing waits in the socket.
+func (w *Conn[M]) dry() bool {
 	sc, ok := w.Conn.(syscall.Conn)
 	if !ok {
 		return true
