--- a/cmd/reachwind/main.go
+++ b/cmd/reachwind/main.go
@@ -105,7 +105,7 @@
 		c.Name, c.Listen, len(c.Known), len(c.Decide.Classes))
 	b := c.Budget(edge)
 	_, _ = fmt.Fprintf(out, "descriptors: %d for clients, %d for members, %d for parts\n", b.Clients, b.Members, b.Files)
-	_, _ = fmt.Fprintf(out, "memory: %d buffers of %s in all, %s for parts\n", b.Buffers, edgeconf.FormatSize(b.Memory), edgeconf.FormatSize(b.Parts))
+	_, _ = fmt.Fprintf(out, "memory: %d buffers and %d small ones of %s in all, %s for parts\n", b.Buffers, b.Small, edgeconf.FormatSize(b.Memory), edgeconf.FormatSize(b.Parts))
 	if s := edge.Syslog; s != nil {
 		_, _ = fmt.Fprintf(out, "syslog: %d collectors, %d routes, queue %s", len(s.Collectors), len(s.Routes), edgeconf.FormatSize(int64(s.Memory)))
 		if s.Spool != "" {
--- a/internal/gateway/edge.go
+++ b/internal/gateway/edge.go
@@ -76,7 +76,8 @@
 	Sockets int // of the gateway proper, after the parts took theirs
 	Clients int
 	Members int
-	Buffers int   // statements and answers
+	Buffers int   // statements and answers,
+	Small   int   // and those for small ones
 	Memory  int64 // bytes, of the buffers
 	Parts   int64 // bytes that the parts of the product configuration hold at most
 	Files   int   // descriptors of these
@@ -102,8 +103,10 @@
 	}
 	b.Sockets = max(leastSockets, c.sockets-b.Files)
 	b.Clients, b.Members = int(clientPart*float64(b.Sockets)), int(memberPart*float64(b.Sockets))
-	b.Buffers = max(buffersLeast, int(bufferPart*float64(max(0, memory-b.Parts)))/pgwire.BufSize)
-	b.Memory = int64(b.Buffers) * pgwire.BufSize
+	room := bufferPart * float64(max(0, memory-b.Parts))
+	b.Small = int(smallPart*room) / pgwire.SmallSize
+	b.Buffers = max(buffersLeast, int((1-smallPart)*room)/pgwire.BufSize)
+	b.Memory = int64(b.Buffers)*pgwire.BufSize + int64(b.Small)*pgwire.SmallSize
 	return b
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,13 +34,14 @@
 
 	leastSockets  = 64
 	leastMemory   = 32 << 20
-	clientPart    = 0.5  // of the descriptors, for client connections
-	idlePart      = 0.08 // of those, for such as are idle
-	sparePart     = 0.08 // for those being ended or refused
-	memberPart    = 0.33 // for member connections; the rest is for discovery, the listener and the runtime
-	bufferPart    = 0.5  // of the memory, for buffers
-	softPart      = 0.8  // of the memory, above which the collector works harder
-	garbagePart   = 25   // per cent of what is in use: buffers are most of that, and garbage may grow with it
+	clientPart    = 0.5   // of the descriptors, for client connections
+	idlePart      = 0.08  // of those, for such as are idle
+	sparePart     = 0.08  // for those being ended or refused
+	memberPart    = 0.33  // for member connections; the rest is for discovery, the listener and the runtime
+	bufferPart    = 0.5   // of the memory, for buffers
+	smallPart     = 0.125 // of these, for small ones: more of them than there are connections
+	softPart      = 0.8   // of the memory, above which the collector works harder
+	garbagePart   = 25    // per cent of what is in use: buffers are most of that, and garbage may grow with it
 	freeMemory    = 512 << 20
 	partsMost     = 2 * time.Second        // what other parts may take to end, after the last client has
 	acceptAfter   = 500 * time.Millisecond // clients keep coming for 0.4 s after SIGTERM
@@ -204,7 +205,7 @@
 	}
 	share := c.Budget(edge)
 	f := c.facts
-	bufs := pgwire.NewPool(share.Buffers)
+	bufs := pgwire.NewPool(share.Buffers, share.Small)
 	owner := core.New(core.NewClock(), router, log)
 	pool := pgmember.New(owner, pgmember.Config{User: user, Database: database,
 		Max:     share.Members,
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -38,7 +38,7 @@
 	skipping bool // an extended query was refused: skip to its Sync
 	answered []message
 	out      []byte    // small answers are put together here
-	due      time.Time // the first command must be whole by then; zero once it is
+	due      time.Time // the startup, then the first command, must have begun by then; zero once that is whole
 
 	// Under the server's lock.
 	spoke     bool      // some byte has come
@@ -112,14 +112,6 @@
 	return nil
 }
 
-// patience is how long the next message, or the rest of one, may take to come.
-func (c *conn) patience() time.Duration {
-	if !c.due.IsZero() {
-		return time.Until(c.due)
-	}
-	return c.s.conf.StartWait
-}
-
 // limit bounds the time of a read until stop is called, so that a client that
 // says nothing does not keep a connection, nor one that stalls halfway through a
 // message a buffer.
@@ -149,21 +141,24 @@
 
 // startup reads the startup message and welcomes the client.
 func (c *conn) startup() error {
-	wait := c.patience()
+	wait, rest := time.Until(c.due), c.s.conf.StartWait
 	if c.refuse {
-		wait = c.s.conf.RefuseWait
+		wait, rest = c.s.conf.RefuseWait, c.s.conf.RefuseWait
 	}
-	defer c.limit(wait)()
+	stop := c.limit(wait)
 	woken := func() error {
 		if err := c.woken(); err != nil || !c.stopping {
 			return err
 		}
 		return errSevered
 	}
-	if _, err := c.Peek(1, woken); err != nil {
+	_, err := c.Peek(1, woken)
+	stop()
+	if err != nil {
 		return err
 	}
 	c.s.heard(c)
+	defer c.limit(rest)()
 	for {
 		head, err := c.Peek(4, woken)
 		if err != nil {
@@ -202,6 +197,7 @@
 	}
 	out = pgwire.Append(out, 'K', "\x00\x00\x00\x00\x00\x00\x00\x00")
 	c.out = pgwire.AppendReady(out)
+	c.due = time.Now().Add(c.s.conf.StartWait)
 	return c.write(c.out)
 }
 
@@ -213,7 +209,7 @@
 	c.s.idle(c)
 	stop := func() {}
 	if !c.due.IsZero() { // guards against clients that connect and never ask
-		stop = c.limit(c.patience())
+		stop = c.limit(time.Until(c.due))
 	}
 	_, err := c.Peek(1, c.idle)
 	stop()
@@ -222,7 +218,7 @@
 	}
 	c.s.busy(c)
 	if c.R.Buffered() < 5 {
-		stop = c.limit(c.patience())
+		stop = c.limit(c.s.conf.StartWait)
 	}
 	head, err := c.Peek(5, c.woken)
 	stop()
@@ -264,7 +260,7 @@
 
 // skip passes over n bytes.
 func (c *conn) skip(n int) error {
-	defer c.limit(c.patience())()
+	defer c.limit(c.s.conf.StartWait)()
 	for n > 0 {
 		if _, err := c.Peek(1, c.woken); err != nil {
 			return err
@@ -283,7 +279,7 @@
 	}
 	stop := func() {}
 	if c.R.Buffered() < n {
-		stop = c.limit(c.patience())
+		stop = c.limit(c.s.conf.StartWait)
 	}
 	buf, err := c.text(n)
 	stop()
@@ -372,10 +368,7 @@
 			return nil, err
 		}
 	}
-	if c.s.bufs.Free() <= c.s.conf.Keep {
-		return nil, nil
-	}
-	buf := c.s.bufs.Get()
+	buf := c.s.bufs.Get(n, c.s.conf.Keep)
 	if buf == nil {
 		return nil, nil
 	}
--- a/internal/pgmember/conn.go
+++ b/internal/pgmember/conn.go
@@ -361,15 +361,10 @@
 		}
 		body := small[:]
 		keep := a.job != nil && a.done == nil && (typ == 'T' || typ == 'D' || typ == 'C')
-		if keep && a.buf == nil {
-			if a.buf = c.p.bufs.Get(); a.buf == nil {
-				return errNoBuffer
-			}
-		}
 		switch {
 		case keep:
-			if len(a.buf.B)+5+n+len(readyForQuery) > cap(a.buf.B) {
-				return pgwire.ErrTooLong
+			if err := c.room(a, typ, 5+n); err != nil {
+				return err
 			}
 			at := len(a.buf.B)
 			a.buf.B = append(a.buf.B, head...)[:at+5+n]
@@ -393,6 +388,34 @@
 	return errSpoilt
 }
 
+// room sees that the answer's buffer takes a message of n bytes and what follows it.
+func (c *conn) room(a *answer, typ byte, n int) error {
+	if typ == 'D' { // a row stays where it is: CommandComplete finds its room
+		n += tagMost
+	}
+	n += len(readyForQuery)
+	if a.buf == nil || len(a.buf.B)+n > cap(a.buf.B) {
+		have := a.buf
+		if have != nil {
+			n += len(have.B)
+		}
+		if n > pgwire.BufSize || a.row != nil {
+			return pgwire.ErrTooLong
+		}
+		if a.buf = c.p.bufs.Get(n, 0); a.buf == nil {
+			a.buf = have
+			return errNoBuffer
+		}
+		if have != nil {
+			a.buf.B = append(a.buf.B, have.B...)
+			have.Release()
+		}
+	}
+	return nil
+}
+
+const tagMost = 128 // bytes of CommandComplete
+
 const readyForQuery = "Z\x00\x00\x00\x05I"
 
 // patience is how long the member may pause within the answer.
--- a/internal/pgwire/buf.go
+++ b/internal/pgwire/buf.go
@@ -2,9 +2,12 @@
 
 import "sync"
 
-// BufSize holds the largest message: a value of 64 KiB as hex digits, with its statement.
+// BufSize holds the largest message that is held whole: a value of 64 KiB as hex digits, with its statement.
 const BufSize = 132 << 10
 
+// SmallSize holds the usual statement or small answer. Many are held by slow peers at once, and few need more.
+const SmallSize = 4 << 10
+
 // Buf is a buffer from a Pool. B is empty when it comes and may grow up to its capacity only.
 type Buf struct {
 	B    []byte
@@ -14,42 +17,76 @@
 // Release gives the buffer back; the holder must not use it afterwards.
 func (b *Buf) Release() { b.pool.put(b) }
 
-// Pool hands out buffers of one size, up to a fixed number of them.
+// Pool hands out buffers of two sizes, up to a fixed number of each.
 type Pool struct {
-	mu   sync.Mutex
+	mu         sync.Mutex
+	full, tiny shelf
+}
+
+// shelf holds buffers of one size.
+type shelf struct {
+	size int
 	free []*Buf
-	left int
+	left int // not made yet
 }
 
-// NewPool returns a pool of at most n buffers, which are made as needed.
-func NewPool(n int) *Pool { return &Pool{left: n} }
+// NewPool returns a pool of at most full buffers of BufSize and small ones of SmallSize, which are made as needed.
+func NewPool(full, small int) *Pool {
+	return &Pool{full: shelf{size: BufSize, left: full}, tiny: shelf{size: SmallSize, left: small}}
+}
 
-// Get returns a buffer, or nil when all are in use.
-func (p *Pool) Get() *Buf {
+// Get returns a buffer that holds n bytes, a small one if that will do and there is one; nil when it would leave keep
+// full ones or fewer.
+func (p *Pool) Get(n, keep int) *Buf {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if n := len(p.free); n > 0 {
-		b := p.free[n-1]
-		p.free = p.free[:n-1]
+	if n <= SmallSize {
+		if b := p.tiny.get(p); b != nil {
+			return b
+		}
+	}
+	if n > BufSize || p.full.count() <= keep {
+		return nil
+	}
+	return p.full.get(p)
+}
+
+func (s *shelf) count() int { return s.left + len(s.free) }
+
+func (s *shelf) get(p *Pool) *Buf {
+	if n := len(s.free); n > 0 {
+		b := s.free[n-1]
+		s.free = s.free[:n-1]
 		return b
 	}
-	if p.left == 0 {
+	if s.left == 0 {
 		return nil
 	}
-	p.left--
-	return &Buf{B: make([]byte, 0, BufSize), pool: p}
+	s.left--
+	return &Buf{B: make([]byte, 0, s.size), pool: p}
 }
 
 func (p *Pool) put(b *Buf) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b.B = b.B[:0]
-	p.free = append(p.free, b)
+	s := &p.full
+	if cap(b.B) == p.tiny.size {
+		s = &p.tiny
+	}
+	s.free = append(s.free, b)
 }
 
-// Free returns how many buffers may still be had.
+// Free returns how many full buffers may still be had.
 func (p *Pool) Free() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.left + len(p.free)
+	return p.full.count()
+}
+
+// FreeSmall returns how many small buffers may still be had.
+func (p *Pool) FreeSmall() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tiny.count()
 }
