--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -97,7 +97,6 @@
 	sent    Time
 	done    bool
 	stopped bool // given up, unless its answer had begun
-	first   Time // when its answer began, of one that passes through
 
 	// For records: how it ended, and what its member told.
 	result   decide.Result
@@ -219,6 +218,9 @@
 		if !q.ended {
 			c.events = append(c.events, decide.Event{Kind: decide.ClientGone, Request: q.id})
 			c.end(q)
+			if q.begun { // the module has done with it
+				c.stop(q.attempts[len(q.attempts)-1], decide.Cancelled)
+			}
 		}
 	})
 }
@@ -226,6 +228,9 @@
 // Begun tells that the answer of an attempt has begun and will be passed on as it comes. The client gets body as its
 // answer, and the attempt is the client's now: its time-out and the client's deadline no longer run. Done follows
 // as ever. Body is released instead if the attempt was given up or the client has left.
+//
+// For the module the attempt has ended, served: the member has done its work, and how fast the rest comes is the
+// client's doing. Were it told at the end, slow clients would make their members look slow and full.
 func (c *Core) Begun(a *Attempt, body Payload) {
 	c.Post(func() {
 		q := a.Request
@@ -233,8 +238,9 @@
 			body.Release()
 			return
 		}
-		q.begun, a.first = true, c.Now()
-		c.events = append(c.events, decide.Event{Kind: decide.FirstByte, Request: q.id, Member: a.Member, Attempt: a.no})
+		q.begun = true
+		c.events = append(c.events, decide.Event{Kind: decide.Outcome, Request: q.id, Member: a.Member, Attempt: a.no,
+			Result: decide.Served, Elapsed: c.Now() - a.sent, Ended: true})
 		q.Client.Answer(Answer{Verdict: Served, Body: body})
 	})
 }
@@ -436,12 +442,11 @@
 		c.witness.Answered(a.Member)
 	}
 	e := decide.Event{Kind: decide.Outcome, Request: q.id, Member: a.Member, Attempt: a.no, Result: o.Result,
-		Elapsed: c.Now() - a.sent, Ended: q.ended || q.begun || o.Result == decide.Served, Reused: o.Reused,
+		Elapsed: c.Now() - a.sent, Ended: q.ended || o.Result == decide.Served, Reused: o.Reused,
 		Role: o.Role, Stamped: o.Stamped, Position: o.Position, Report: o.Report}
-	if a.first != 0 { // how fast the client takes the rest is not the member's
-		e.Elapsed = a.first - a.sent
+	if !q.begun {
+		c.events = append(c.events, e)
 	}
-	c.events = append(c.events, e)
 	if o.Stamped {
 		c.watch.learn(a.Member, o.Position)
 	}
