--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -106,6 +106,7 @@
 	router *decide.Router
 	owner  *core.Core
 	pool   *pgmember.Pool
+	bufs   *pgwire.Pool
 	dir    *discovery.Client
 	front  *pgfront.Server
 	claims *call.Claims
@@ -221,7 +222,7 @@
 	}
 	dir := discovery.New(c.Discovery, c.version, c.Decide.Fronts, list, dial, log)
 	owner.Connect(pool, dir)
-	g := &running{o: o, c: c, router: router, owner: owner, pool: pool, dir: dir, claims: call.NewClaims(), over: over, most: share.Clients}
+	g := &running{o: o, c: c, router: router, owner: owner, pool: pool, bufs: bufs, dir: dir, claims: call.NewClaims(), over: over, most: share.Clients}
 	if edge.Syslog != nil {
 		p, err := startSyslog(edge.Syslog, owner, c.Decide.ColdTime, o)
 		if err != nil {
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -37,8 +37,11 @@
 	stopping bool
 	skipping bool // an extended query was refused: skip to its Sync
 	answered []message
-	out      []byte    // small answers are put together here
-	due      time.Time // the startup, then the first command, must have begun by then; zero once that is whole
+	out      []byte        // small answers are put together here
+	timer    *time.Timer   // of the read with a time limit,
+	wait     time.Duration // which ends after such a silence,
+	until    time.Time     // and then at the latest
+	due      time.Time     // the startup, then the first command, must have begun by then; zero once that is whole
 
 	// Under the server's lock.
 	spoke     bool      // some byte has come
@@ -106,25 +109,37 @@
 		case m.stop:
 			c.stopping = true
 		case m.expire == c.reads:
-			return errTooSlow
+			left := min(c.wait-c.Silent(), time.Until(c.until))
+			if left <= 0 {
+				return errTooSlow
+			}
+			c.look(left)
 		}
 	}
 	return nil
 }
 
-// limit bounds the time of a read until stop is called, so that a client that
-// says nothing does not keep a connection, nor one that stalls halfway through a
-// message a buffer.
-func (c *conn) limit(wait time.Duration) (stop func()) {
+// limit bounds a read until stop is called, so that a client that says nothing does not keep a connection, nor one
+// that stalls halfway through a message a buffer: it ends once nothing has come for wait, and after most in any case.
+func (c *conn) limit(wait, most time.Duration) (stop func()) {
 	c.reads++
-	read := c.reads
-	t := time.AfterFunc(wait, func() { c.Leave(message{expire: read}) })
+	c.wait, c.until = wait, time.Now().Add(most)
+	c.look(wait)
 	return func() {
-		t.Stop()
+		c.timer.Stop()
 		c.reads++
 	}
 }
 
+// look has the goroutine look after so long whether its read is over its limit.
+func (c *conn) look(after time.Duration) {
+	read := c.reads
+	c.timer = time.AfterFunc(after, func() { c.Leave(message{expire: read}) })
+}
+
+// limitMessage limits the read of a message that has begun: its client may pause for the time to start, four times that in all.
+func (c *conn) limitMessage() (stop func()) { return c.limit(c.s.conf.StartWait, 4*c.s.conf.StartWait) }
+
 // idle is woken, for when nothing of a message has come: a stopping connection
 // ends there. A command may wait in the socket, unseen for the deadline that
 // woke the read: it is served first, as to close on it would reset the
@@ -141,11 +156,11 @@
 
 // startup reads the startup message and welcomes the client.
 func (c *conn) startup() error {
-	wait, rest := time.Until(c.due), c.s.conf.StartWait
+	wait := time.Until(c.due)
 	if c.refuse {
-		wait, rest = c.s.conf.RefuseWait, c.s.conf.RefuseWait
+		wait = c.s.conf.RefuseWait
 	}
-	stop := c.limit(wait)
+	stop := c.limit(wait, wait)
 	woken := func() error {
 		if err := c.woken(); err != nil || !c.stopping {
 			return err
@@ -158,7 +173,11 @@
 		return err
 	}
 	c.s.heard(c)
-	defer c.limit(rest)()
+	if c.refuse {
+		defer c.limit(wait, wait)()
+	} else {
+		defer c.limitMessage()()
+	}
 	for {
 		head, err := c.Peek(4, woken)
 		if err != nil {
@@ -209,7 +228,8 @@
 	c.s.idle(c)
 	stop := func() {}
 	if !c.due.IsZero() { // guards against clients that connect and never ask
-		stop = c.limit(time.Until(c.due))
+		left := time.Until(c.due)
+		stop = c.limit(left, left)
 	}
 	_, err := c.Peek(1, c.idle)
 	stop()
@@ -218,7 +238,7 @@
 	}
 	c.s.busy(c)
 	if c.R.Buffered() < 5 {
-		stop = c.limit(c.s.conf.StartWait)
+		stop = c.limitMessage()
 	}
 	head, err := c.Peek(5, c.woken)
 	stop()
@@ -260,7 +280,7 @@
 
 // skip passes over n bytes.
 func (c *conn) skip(n int) error {
-	defer c.limit(c.s.conf.StartWait)()
+	defer c.limitMessage()()
 	for n > 0 {
 		if _, err := c.Peek(1, c.woken); err != nil {
 			return err
@@ -279,7 +299,7 @@
 	}
 	stop := func() {}
 	if c.R.Buffered() < n {
-		stop = c.limit(c.s.conf.StartWait)
+		stop = c.limitMessage()
 	}
 	buf, err := c.text(n)
 	stop()
--- a/internal/pgfront/conn_test.go
+++ b/internal/pgfront/conn_test.go
@@ -262,6 +262,35 @@
 	}
 }
 
+// TestSlow: a client that needs long for its startup and for each piece of a statement is served, one that never ends is not.
+func TestSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, bufs := newServer(&fakeCore{}, 1)
+		p := dial(s, nil)
+		trickle := func(text []byte, pieces int) {
+			for i := range pieces {
+				time.Sleep(900 * time.Millisecond)
+				p.write <- text[i*len(text)/pieces : (i+1)*len(text)/pieces]
+			}
+			synctest.Wait()
+		}
+		trickle(pgwire.AppendStartup(nil, "app", "shop"), 3)
+		for range 3 {
+			trickle(query("SET a = 1; -- "+strings.Repeat(" ", readSize)), 4)
+		}
+		if got := p.replies(t); strings.Join(got[len(got)-6:], "") != "CZCZCZ" {
+			t.Errorf("replies %q", got)
+		}
+		trickle(query(read + strings.Repeat(" ", readSize))[:readSize], 9)
+		if got := p.replies(t); !slices.Equal(got, []string{"E08P01"}) || !p.ended() || bufs.Free() != buffers {
+			t.Errorf("replies %q, ended %v", got, p.ended())
+		}
+		close(p.write)
+		_ = p.Close()
+		synctest.Wait()
+	})
+}
+
 // TestStartup: what comes in place of a startup message is answered plainly or closed, in time.
 func TestStartup(t *testing.T) {
 	ssl := binary.BigEndian.AppendUint32([]byte{0, 0, 0, 8}, pgwire.SSLRequest)
--- a/internal/pgfront/server.go
+++ b/internal/pgfront/server.go
@@ -28,7 +28,7 @@
 	Spare      int           // connections above Max, half for those being ended, half for those being refused
 	ComeBack   time.Duration // told to those refused for want of room, 0 = nothing
 	Keep       int           // buffers left to the members when statements take the rest
-	StartWait  time.Duration // the startup and the first command must begin by then, and each message once begun be whole
+	StartWait  time.Duration // the startup and the first command must begin by then; no message may pause for longer
 	WriteWait  time.Duration // an answer must have been taken by then
 	RefuseWait time.Duration // how long a refused connection may linger
 	IdleMost   time.Duration // a connection idle for longer is ended,
--- a/internal/pgmember/conn.go
+++ b/internal/pgmember/conn.go
@@ -256,6 +256,10 @@
 		defer func() {
 			if o.Result != decide.Served {
 				a.tail = nil
+				if err == nil {
+					err = errors.New("error " + a.code)
+				}
+				c.p.cut.Info(c.p.log, "long answer broke off", "member", c.m.id, "bytes", a.passed, "err", err)
 			}
 			a.done(a.tail)
 		}()
@@ -324,9 +328,10 @@
 	ready bool   // ReadyForQuery came
 
 	// Of one that passes through.
-	done func(tail []byte) // tells the client's side of the end; nil: it is held whole
-	tail []byte            // CommandComplete
-	last time.Time         // when some of it had been passed on
+	done   func(tail []byte) // tells the client's side of the end; nil: it is held whole
+	tail   []byte            // CommandComplete
+	passed int               // bytes of the value
+	last   time.Time         // when some of it had been passed on
 
 	role     decide.Role
 	stamped  bool
@@ -471,6 +476,7 @@
 			return err
 		}
 		left -= len(chunk)
+		a.passed += len(chunk)
 		_, err = w.Write(chunk)
 		_, _ = c.R.Discard(len(chunk))
 	}
--- a/internal/pgmember/pool.go
+++ b/internal/pgmember/pool.go
@@ -45,7 +45,7 @@
 	open    int // connections, those being made included
 	jobs    map[*core.Attempt]*job
 
-	spoilt, failing, short often.Line
+	spoilt, failing, short, cut often.Line
 }
 
 // member is what the pool knows of one member.
