--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -85,6 +85,7 @@
 	attempts []*Attempt
 	out      int
 	ended    bool
+	begun    bool // its answer is being passed on: no time limit ends it
 }
 
 // Attempt is one try of a request at a member.
@@ -96,6 +97,7 @@
 	no      int
 	sent    Time
 	done    bool
+	stopped bool // given up, unless its answer had begun
 
 	// For records: how it ended, and what its member told.
 	result   decide.Result
@@ -230,10 +232,37 @@
 		if !q.ended {
 			c.events = append(c.events, decide.Event{Kind: decide.ClientGone, Request: q.id})
 			c.end(q)
+			if q.begun { // the module has done with it
+				c.stop(q.attempts[len(q.attempts)-1], decide.Cancelled)
+			}
 		}
 	})
 }
 
+// Begun tells that the answer of an attempt has begun and will be passed on as it comes. The client gets body as its
+// answer, and the attempt is the client's now: its time-out and the client's deadline no longer run. Done follows
+// as ever. Body is released instead if the attempt was given up or the client has left.
+//
+// For the module the attempt has ended, served: the member has done its work, and how fast the rest comes is the
+// client's doing. Were it told at the end, slow clients would make their members look slow and full. A write is told of
+// when it has ended all the same: what it committed comes last, and its session's reads must see that.
+func (c *Core) Begun(a *Attempt, body Payload) {
+	c.Post(func() {
+		q := a.Request
+		if a.done || a.stopped || q.ended {
+			body.Release()
+			return
+		}
+		q.begun = true
+		e := decide.Event{Kind: decide.FirstByte, Request: q.id, Member: a.Member, Attempt: a.no, Elapsed: c.Now() - a.sent}
+		if !q.Writes {
+			e.Kind, e.Result, e.Ended = decide.Outcome, decide.Served, true
+		}
+		c.events = append(c.events, e)
+		q.Client.Answer(Answer{Verdict: Served, Body: body})
+	})
+}
+
 // Done ends an attempt.
 func (c *Core) Done(a *Attempt, o Outcome) { c.Post(func() { c.done(a, o) }) }
 
@@ -348,7 +377,7 @@
 	}
 	c.events = append(c.events, e)
 	c.After(q.Until+deadlineSlack, func() {
-		if !q.ended { // guards the rule that each taken request gets an answer in time
+		if !q.ended && !q.begun { // guards the rule that each taken request gets an answer in time
 			c.log.Warn("deadline passed unanswered", "request", q.id)
 			c.events = append(c.events, decide.Event{Kind: decide.ClientGone, Request: q.id})
 			c.finish(q, Answer{Verdict: Failed, MayHaveRun: q.mayHaveRun()}, record.Deadline)
@@ -364,7 +393,9 @@
 		}
 		return
 	}
-	q.Client.Answer(a)
+	if !q.begun { // else it has its answer, whole or not
+		q.Client.Answer(a)
+	}
 	if c.witness != nil {
 		c.witness.Ended(q.Class, a.Verdict, c.Now()-q.arrived)
 	}
@@ -411,7 +442,7 @@
 		return
 	}
 	q := a.Request
-	if o.Result == decide.Served && q.AtLeast > 0 && o.Stamped && o.Position < q.AtLeast {
+	if o.Result == decide.Served && !q.begun && q.AtLeast > 0 && o.Stamped && o.Position < q.AtLeast {
 		// It was primary when it was last heard of, and is a replica now that lacks what this read must see: as good
 		// as a member that turned it away, and it is tried elsewhere.
 		o.Result = decide.NotHere
@@ -434,15 +465,21 @@
 	e := decide.Event{Kind: decide.Outcome, Request: q.id, Member: a.Member, Attempt: a.no, Result: o.Result,
 		Elapsed: c.Now() - a.sent, Ended: q.ended || o.Result == decide.Served, Reused: o.Reused,
 		Role: o.Role, Stamped: o.Stamped, Position: o.Position, Report: o.Report}
-	c.events = append(c.events, e)
+	if !q.begun || q.Writes {
+		e.Ended = e.Ended || q.begun
+		c.events = append(c.events, e)
+	}
 	if o.Stamped {
 		c.watch.learn(a.Member, o.Position)
 	}
 	if c.ledger != nil && o.Result == decide.Served && o.Stamped && q.Writes && q.Session != "" {
 		c.ledger.Commit(q.Group, q.Session, o.Position)
 	}
-	if o.Result == decide.Served {
+	switch {
+	case o.Result == decide.Served:
 		c.finish(q, Answer{Verdict: Served, Body: o.Body, Position: a.position}, record.NoCause)
+	case q.begun:
+		c.finish(q, Answer{Verdict: Failed, MayHaveRun: true}, record.NoCause)
 	}
 	c.forget(q)
 }
@@ -455,7 +492,7 @@
 		c.send(q, a)
 	case decide.Cancel:
 		if q != nil && a.Attempt < len(q.attempts) && !q.attempts[a.Attempt].done {
-			c.members.Stop(q.attempts[a.Attempt], decide.Cancelled)
+			c.stop(q.attempts[a.Attempt], decide.Cancelled)
 		}
 	case decide.Refuse:
 		if q != nil {
@@ -508,12 +545,17 @@
 	}
 	c.members.Send(at)
 	c.After(at.Until, func() {
-		if !at.done {
-			c.members.Stop(at, decide.TimedOut)
+		if !at.done && !q.begun {
+			c.stop(at, decide.TimedOut)
 		}
 	})
 }
 
+func (c *Core) stop(a *Attempt, why decide.Result) {
+	a.stopped = true
+	c.members.Stop(a, why)
+}
+
 type timer struct {
 	at Time
 	f  func()
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -455,7 +455,7 @@
 // limit has the gateway use so much of its memory and so many descriptors from now on.
 func (g *running) limit(bufs *pgwire.Pool, share Budget) func(part float64, sockets int) {
 	return func(part float64, sockets int) {
-		bufs.Limit(int(part * float64(share.Buffers)))
+		bufs.Limit(int(part*float64(share.Buffers)), int(part*float64(share.Small)))
 		g.front.Limit(int(clientPart * float64(sockets)))
 		g.owner.Post(func() { g.pool.Limit(int(memberPart * float64(sockets))) })
 		if g.c.memory > 0 {
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -24,6 +24,8 @@
 	answer  core.Answer
 	stop    bool // close once idle
 	expire  int  // the time for this read is up
+	passed  bool // the answer has passed through; tail is what is left of it, nil: it is not whole
+	tail    []byte
 }
 
 // conn is one client connection.
@@ -35,8 +37,11 @@
 	stopping bool
 	skipping bool // an extended query was refused: skip to its Sync
 	answered []message
-	out      []byte    // small answers are put together here
-	due      time.Time // the first command must be whole by then; zero once it is
+	out      []byte        // small answers are put together here
+	timer    *time.Timer   // of the read with a time limit,
+	wait     time.Duration // which ends after such a silence,
+	until    time.Time     // and then at the latest
+	due      time.Time     // the startup, then the first command, must have begun by then; zero once that is whole
 
 	// Under the server's lock.
 	spoke     bool      // some byte has come
@@ -50,6 +55,7 @@
 	errTooSlow  = errors.New("message took too long to come")
 	errSevered  = errors.New("stopping")
 	errProtocol = errors.New("protocol violation")
+	errCut      = errors.New("answer cut short")
 	errInUse    = errors.New("a request with this id is in work")
 )
 
@@ -103,33 +109,37 @@
 		case m.stop:
 			c.stopping = true
 		case m.expire == c.reads:
-			return errTooSlow
+			left := min(c.wait-c.Silent(), time.Until(c.until))
+			if left <= 0 {
+				return errTooSlow
+			}
+			c.look(left)
 		}
 	}
 	return nil
 }
 
-// patience is how long the next message, or the rest of one, may take to come.
-func (c *conn) patience() time.Duration {
-	if !c.due.IsZero() {
-		return time.Until(c.due)
-	}
-	return c.s.conf.StartWait
-}
-
-// limit bounds the time of a read until stop is called, so that a client that
-// says nothing does not keep a connection, nor one that stalls halfway through a
-// message a buffer.
-func (c *conn) limit(wait time.Duration) (stop func()) {
+// limit bounds a read until stop is called, so that a client that says nothing does not keep a connection, nor one
+// that stalls halfway through a message a buffer: it ends once nothing has come for wait, and after most in any case.
+func (c *conn) limit(wait, most time.Duration) (stop func()) {
 	c.reads++
-	read := c.reads
-	t := time.AfterFunc(wait, func() { c.Leave(message{expire: read}) })
+	c.wait, c.until = wait, time.Now().Add(most)
+	c.look(wait)
 	return func() {
-		t.Stop()
+		c.timer.Stop()
 		c.reads++
 	}
 }
 
+// look has the goroutine look after so long whether its read is over its limit.
+func (c *conn) look(after time.Duration) {
+	read := c.reads
+	c.timer = time.AfterFunc(after, func() { c.Leave(message{expire: read}) })
+}
+
+// limitMessage limits the read of a message that has begun: its client may pause for the time to start, four times that in all.
+func (c *conn) limitMessage() (stop func()) { return c.limit(c.s.conf.StartWait, 4*c.s.conf.StartWait) }
+
 // idle is woken, for when nothing of a message has come: a stopping connection
 // ends there. A command may wait in the socket, unseen for the deadline that
 // woke the read: it is served first, as to close on it would reset the
@@ -152,22 +162,29 @@
 
 // startup reads the startup message and welcomes the client.
 func (c *conn) startup() error {
-	wait := c.patience()
+	wait := time.Until(c.due)
 	if c.refuse {
 		wait = c.s.conf.RefuseWait
 	}
-	defer c.limit(wait)()
+	stop := c.limit(wait, wait)
 	woken := func() error {
 		if err := c.woken(); err != nil || !c.stopping || !c.parts(false) {
 			return err
 		}
 		return errSevered
 	}
-	if _, err := c.Peek(1, woken); err != nil {
+	_, err := c.Peek(1, woken)
+	stop()
+	if err != nil {
 		return err
 	}
 	c.s.heard(c)
 	woken = c.woken // what it has begun to send is read here
+	if c.refuse {
+		defer c.limit(wait, wait)()
+	} else {
+		defer c.limitMessage()()
+	}
 	for {
 		head, err := c.Peek(4, woken)
 		if err != nil {
@@ -206,6 +223,7 @@
 	}
 	out = pgwire.Append(out, 'K', "\x00\x00\x00\x00\x00\x00\x00\x00")
 	c.out = pgwire.AppendReady(out)
+	c.due = time.Now().Add(c.s.conf.StartWait)
 	return c.write(c.out)
 }
 
@@ -217,7 +235,8 @@
 	c.s.idle(c)
 	stop := func() {}
 	if !c.due.IsZero() { // guards against clients that connect and never ask
-		stop = c.limit(c.patience())
+		left := time.Until(c.due)
+		stop = c.limit(left, left)
 	}
 	_, err := c.Peek(1, c.idle)
 	stop()
@@ -226,7 +245,7 @@
 	}
 	c.s.busy(c)
 	if c.R.Buffered() < 5 {
-		stop = c.limit(c.patience())
+		stop = c.limitMessage()
 	}
 	head, err := c.Peek(5, c.woken)
 	stop()
@@ -268,7 +287,7 @@
 
 // skip passes over n bytes.
 func (c *conn) skip(n int) error {
-	defer c.limit(c.patience())()
+	defer c.limitMessage()()
 	for n > 0 {
 		if _, err := c.Peek(1, c.woken); err != nil {
 			return err
@@ -287,7 +306,7 @@
 	}
 	stop := func() {}
 	if c.R.Buffered() < n {
-		stop = c.limit(c.patience())
+		stop = c.limitMessage()
 	}
 	buf, err := c.text(n)
 	stop()
@@ -328,9 +347,47 @@
 		c.s.core.Gone(q)
 		return err
 	}
+	if s, ok := m.answer.Body.(*pgwire.Stream); ok {
+		return c.pass(q, s)
+	}
 	return c.answer(m.answer)
 }
 
+// pass has an answer pass through. The connection's sending side is lent to the member's goroutine meanwhile; the read
+// goes on, and sees the client leave.
+func (c *conn) pass(q *core.Request, s *pgwire.Stream) error {
+	s.Start(&lent{c: c, end: time.Now().Add(passMost)}, func(tail []byte) {
+		c.Leave(message{request: q, passed: true, tail: tail})
+	})
+	m, err := c.await(q)
+	switch {
+	case err != nil:
+		c.s.core.Gone(q)
+		return err
+	case m.tail == nil: // the client sees that it is not whole by the connection's end
+		return errCut
+	}
+	return c.write(pgwire.AppendReady(m.tail))
+}
+
+const passMost = time.Minute // that an answer may take to pass through, whatever the pace of the client and the member
+
+// lent is the sending side of a client's connection while an answer passes through.
+type lent struct {
+	c   *conn
+	end time.Time
+}
+
+// Write writes all of b, or fails: the client must take it within the time for an answer, and the whole by end.
+func (l *lent) Write(b []byte) (int, error) {
+	until := time.Now().Add(l.c.s.conf.WriteWait)
+	if until.After(l.end) {
+		until = l.end
+	}
+	_ = l.c.SetWriteDeadline(until)
+	return l.c.Conn.Conn.Write(b)
+}
+
 // text reads the n bytes of a query into a buffer; there may be none left for it.
 func (c *conn) text(n int) (*pgwire.Buf, error) {
 	if n <= c.R.Size() { // guards against clients that send half a statement and so keep a buffer
@@ -338,10 +395,7 @@
 			return nil, err
 		}
 	}
-	if c.s.bufs.Free() <= c.s.conf.Keep {
-		return nil, nil
-	}
-	buf := c.s.bufs.Get()
+	buf := c.s.bufs.Get(n, c.s.conf.Keep)
 	if buf == nil {
 		return nil, nil
 	}
--- a/internal/pgmember/conn.go
+++ b/internal/pgmember/conn.go
@@ -30,6 +30,7 @@
 	readSize    = 4 << 10
 	answerParts = 64                     // messages in one answer
 	stallWait   = 100 * time.Millisecond // a member that pauses for so long within an answer won't end it
+	passWait    = 5 * time.Second        // the same for one that passes through, which cannot be tried elsewhere
 )
 
 // order is a message to a connection: run job, stop it, look for a stall in
@@ -58,6 +59,8 @@
 	errClosed   = errors.New("closed")
 	errStalled  = errors.New("answer stalled")
 	errSpoilt   = errors.New("answer out of order")
+	errNotTaken = errors.New("answer taken by nobody")
+	errClient   = errors.New("client takes no more of the answer")
 	errNoBuffer = errors.New("out of buffers")
 )
 
@@ -238,20 +241,39 @@
 			case o.stop:
 				why = o.why
 				return errStopped
-			case o.stall && c.Quiet():
-				return errStalled
 			case o.stall:
 				a.watched = false
+				left := a.patience() - min(c.Silent(), time.Since(a.last))
+				if left <= 0 {
+					return errStalled
+				}
+				c.look(a, left)
 			}
 		}
 		return nil
 	})
+	if a.done != nil { // the client's side waits for the end
+		defer func() {
+			if o.Result != decide.Served {
+				a.tail = nil
+				if err == nil {
+					err = errors.New("error " + a.code)
+				}
+				c.p.cut.Info(c.p.log, "long answer broke off", "member", c.m.id, "bytes", a.passed, "err", err)
+			}
+			a.done(a.tail)
+		}()
+	}
 	switch {
+	case errors.Is(err, errClient), errors.Is(err, errNotTaken):
+		return core.Outcome{Result: decide.Cancelled}
 	case errors.Is(err, pgwire.ErrTooLong), errors.Is(err, pgwire.ErrMalformed), errors.Is(err, errSpoilt), errors.Is(err, errStalled),
 		errors.Is(err, errNoBuffer):
 		// The member has run it, and is there: but for this answer nothing is amiss. Nor is what it tells believed.
 		c.p.spoilt.Warn(c.p.log, "answer spoilt", "member", c.m.id, "err", err)
 		return core.Outcome{Result: decide.Errored}
+	case a.done != nil && a.code != "": // whatever the code says, it has run
+		o.Result = decide.Errored
 	case a.code != "" || a.complete:
 		o.Result = outcomeOf(a)
 	default:
@@ -302,8 +324,15 @@
 	row     []byte      // the value, within buf
 	described,
 	complete bool // RowDescription, CommandComplete came
-	code     string // of an ErrorResponse
-	ready    bool   // ReadyForQuery came
+	code  string // of an ErrorResponse
+	ready bool   // ReadyForQuery came
+
+	// Of one that passes through.
+	done   func(tail []byte) // tells the client's side of the end; nil: it is held whole
+	tail   []byte            // CommandComplete
+	passed int               // bytes of the value
+	last   time.Time         // when some of it had been passed on
+
 	role     decide.Role
 	stamped  bool
 	position core.Time
@@ -325,21 +354,22 @@
 		if err != nil {
 			return err
 		}
+		if a.large(head) {
+			if err := c.pass(a, woken); err != nil {
+				return err
+			}
+			continue
+		}
 		typ, n, err := pgwire.Header(head)
 		if err != nil {
 			return err
 		}
 		body := small[:]
-		keep := a.job != nil && (typ == 'T' || typ == 'D' || typ == 'C')
-		if keep && a.buf == nil {
-			if a.buf = c.p.bufs.Get(); a.buf == nil {
-				return errNoBuffer
-			}
-		}
+		keep := a.job != nil && a.done == nil && (typ == 'T' || typ == 'D' || typ == 'C')
 		switch {
 		case keep:
-			if len(a.buf.B)+5+n+len(readyForQuery) > cap(a.buf.B) {
-				return pgwire.ErrTooLong
+			if err := c.room(a, typ, 5+n); err != nil {
+				return err
 			}
 			at := len(a.buf.B)
 			a.buf.B = append(a.buf.B, head...)[:at+5+n]
@@ -363,16 +393,112 @@
 	return errSpoilt
 }
 
+// room sees that the answer's buffer takes a message of n bytes and what follows it.
+func (c *conn) room(a *answer, typ byte, n int) error {
+	if typ == 'D' { // a row stays where it is: CommandComplete finds its room
+		n += tagMost
+	}
+	n += len(readyForQuery)
+	if a.buf == nil || len(a.buf.B)+n > cap(a.buf.B) {
+		have := a.buf
+		if have != nil {
+			n += len(have.B)
+		}
+		if n > pgwire.BufSize || a.row != nil {
+			return pgwire.ErrTooLong
+		}
+		if a.buf = c.p.bufs.Get(n, 0); a.buf == nil {
+			a.buf = have
+			return errNoBuffer
+		}
+		if have != nil {
+			a.buf.B = append(a.buf.B, have.B...)
+			have.Release()
+		}
+	}
+	return nil
+}
+
+const tagMost = 128 // bytes of CommandComplete
+
 const readyForQuery = "Z\x00\x00\x00\x05I"
 
+// patience is how long the member may pause within the answer.
+func (a *answer) patience() time.Duration {
+	if a.done != nil {
+		return passWait
+	}
+	return stallWait
+}
+
+// large tells whether head begins a row that must pass through. One that answers a call of another protocol can't.
+func (a *answer) large(head []byte) bool {
+	if a.job == nil || a.job.attempt == nil || !a.described || a.row != nil || a.code != "" || !pgwire.Large(head) {
+		return false
+	}
+	_, ok := a.job.attempt.Request.Call.(*pgwire.Statement)
+	return ok
+}
+
+// pass passes a row on as it comes, and what came before it. From its begin on no other attempt can answer.
+func (c *conn) pass(a *answer, woken func() error) error {
+	c.watch(a, pgwire.RowHead)
+	head, err := c.Peek(pgwire.RowHead, woken)
+	if err != nil {
+		return err
+	}
+	left, err := pgwire.RowLen(head)
+	if err != nil {
+		return err
+	}
+	s := pgwire.NewStream()
+	c.p.core.Begun(a.job.attempt, s)
+	w, done := s.Taken()
+	if w == nil {
+		if err := woken(); err != nil { // what it was stopped for
+			return err
+		}
+		return errNotTaken
+	}
+	a.done, a.row = done, head[:0]
+	a.buf.B = append(a.buf.B, head...)
+	_, _ = c.R.Discard(len(head))
+	_, err = w.Write(a.buf.B)
+	a.buf.Release()
+	a.buf = nil
+	for a.last = time.Now(); err == nil && left > 0; a.last = time.Now() {
+		c.watch(a, 1)
+		if _, err := c.Peek(1, woken); err != nil {
+			return err
+		}
+		var chunk []byte
+		if chunk, err = c.R.Peek(min(left, c.R.Buffered())); err != nil {
+			return err
+		}
+		left -= len(chunk)
+		a.passed += len(chunk)
+		_, err = w.Write(chunk)
+		_, _ = c.R.Discard(len(chunk))
+	}
+	if err != nil {
+		return errClient
+	}
+	return nil
+}
+
 // watch has a member noticed that stalls before the next n bytes of an answer it has begun.
 func (c *conn) watch(a *answer, n int) {
 	if a.job == nil || a.watched || c.R.Buffered() >= n {
 		return
 	}
+	c.look(a, a.patience())
+}
+
+// look has the goroutine look for a stall after so long.
+func (c *conn) look(a *answer, after time.Duration) {
 	a.watched = true
 	j := a.job
-	time.AfterFunc(stallWait, func() { c.Leave(order{job: j, stall: true}) })
+	time.AfterFunc(after, func() { c.Leave(order{job: j, stall: true}) })
 }
 
 // take takes one message of an answer: RowDescription, DataRow and
@@ -394,6 +520,9 @@
 		a.row, err = pgwire.Column(body)
 	case typ == 'C' && !over && a.row != nil:
 		a.complete, err = true, pgwire.Tag(body)
+		if a.done != nil {
+			a.tail = pgwire.Append(make([]byte, 0, len(body)+11), 'C', string(body))
+		}
 	default:
 		err = errSpoilt
 	}
