SIGHUP takes new settings as a whole; a request under way keeps its class and attempts

Now each request carries the definition of its class, the module takes new settings by Retune, both fronts share one book of terms, and a class that vanished is served 1.2 s more. The file is checked against the shape of the start's: a missing key, a value of another kind, a deadline, an aim or allowed attempts that are not a positive number are faults that name the key. Decisions without a retune are unchanged.

--- a/cmd/reachwind/main_test.go
+++ b/cmd/reachwind/main_test.go
@@ -152,7 +152,7 @@
 				}
 			}
 		}()
-		return strings.Replace(good, "127.0.0.1:1", l.Addr().String(), 1)
+		return strings.NewReplacer("127.0.0.1:1", l.Addr().String(), `"Instances":1,`, `"Instances":1,"Discovery":"ask",`).Replace(good)
 	}
 	write := func(text string) {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -160,7 +160,7 @@
 		}
 	}
 	first, second := discovery(1), discovery(2)
-	write(strings.Replace(first, `"Instances":1,`, `"Instances":1,"Discovery":"ask",`, 1))
+	write(first)
 	logs := make(chan string, 100)
 	log := slog.New(slog.NewTextHandler(writerFunc(func(p []byte) (int, error) {
 		if s := string(p); strings.Contains(s, "reload") || strings.Contains(s, "stopping") {
--- a/decide/api.go
+++ b/decide/api.go
@@ -174,6 +174,24 @@
 	return nil
 }
 
+// Retune takes new settings from now on, or reports their first fault and changes nothing. What was learned stays:
+// costs of classes by name, members, sessions, and the credit of tenants by place. Tenants keep their places: those
+// of before come first, under their names. Arrive events that name their class in As are read by that, whether these
+// settings hold it, hold another under its name or hold none; a request under way keeps its class and the attempts
+// that were allowed when it arrived. Like Step it is the owner's to call.
+func (r *Router) Retune(cfg Config) error {
+	if err := cfg.Validate(); err != nil {
+		return err
+	}
+	for i := range r.cfg.Tenants {
+		if i >= len(cfg.Tenants) || cfg.Tenants[i].Name != r.cfg.Tenants[i].Name {
+			return fmt.Errorf("decide: config: tenant %q is not at its place %d", r.cfg.Tenants[i].Name, i)
+		}
+	}
+	r.tune(cfg)
+	return nil
+}
+
 // MemberState is what the list says of a member.
 type MemberState int
 
@@ -251,7 +269,8 @@
 	Members []Member // lists
 
 	Request   uint64 // Arrive, FirstByte, Outcome, ClientGone
-	Class     int    // Arrive: index in Config.Classes
+	Class     int    // Arrive: index in Config.Classes, where As is nil
+	As        *Class // Arrive: the class as it was when the request was taken, for fronts whose settings change; see Router.Retune
 	Tenant    int    // Arrive: index in Config.Tenants, -1 = none
 	Group     int64  // Arrive
 	Session   string // Arrive: the session, if any
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -97,20 +97,11 @@
 	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
-	r := &Router{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x656c646572)), now: never, floor: never,
+	r := &Router{rng: rand.New(rand.NewPCG(seed, 0x656c646572)), now: never, floor: never,
 		members: map[string]*member{}, groups: map[int64]*group{}, parts: [4]float64{1, 1, 1, 1},
-		requests: map[uint64]*request{}, credit: make([]float64, len(cfg.Tenants)), retries: retryMost,
-		wakeAt: never, logAt: never, sweptAt: never, askGap: max(askFirst, askEach*Time(cfg.Fronts)),
-		seekGap: max(seekEvery, seekEach*Time(cfg.Fronts))}
-	for _, c := range cfg.Classes {
-		r.classes = append(r.classes, class{Class: c, cost: costGuess * float64(c.Aim)})
-		if c.Consistency == Bounded && (r.freshFor == 0 || c.Bound < r.freshFor) {
-			r.freshFor = c.Bound
-		}
-	}
-	if r.freshFor == 0 {
-		r.freshFor = seekEvery * 2
-	}
+		requests: map[uint64]*request{}, retries: retryMost,
+		wakeAt: never, logAt: never, sweptAt: never, askGap: max(askFirst, askEach*Time(cfg.Fronts))}
+	r.tune(cfg)
 	return r, nil
 }
 
@@ -340,9 +331,15 @@
 // Requests.
 
 func (r *Router) arrive(e *Event) {
-	k := &r.classes[e.Class]
+	var k *class
+	if e.As != nil {
+		k = r.classOf(e.As)
+	} else {
+		k = r.classes[e.Class]
+	}
 	q := &request{id: e.Request, class: k, group: r.groups[e.Group], session: e.Session, arrived: r.now,
-		aim: r.now + k.Aim, deadline: r.now + e.Remaining, token: never, floor: never, luck: r.rng.Float64()}
+		most: r.cfg.MaxAttempts, aim: r.now + k.Aim, deadline: r.now + e.Remaining, token: never, floor: never,
+		luck: r.rng.Float64()}
 	r.requests[q.id] = q
 	r.open = append(r.open, q)
 	r.retries = min(retryMost, r.retries+retryEarn)
@@ -436,7 +433,7 @@
 
 // mayTry tells whether the class allows another attempt at m now.
 func (r *Router) mayTry(q *request, m *member) bool {
-	if q.ended || q.streaming || r.cfg.MaxAttempts > 0 && len(q.attempts) >= r.cfg.MaxAttempts {
+	if q.ended || q.streaming || q.most > 0 && len(q.attempts) >= q.most {
 		return false
 	}
 	switch q.class.Effect {
@@ -557,7 +554,7 @@
 	} else if !q.group.leaderless(p) {
 		return nil
 	}
-	if r.cfg.MaxAttempts > 0 && len(q.attempts)+guessSpare >= r.cfg.MaxAttempts {
+	if q.most > 0 && len(q.attempts)+guessSpare >= q.most {
 		q.group.wanted = r.now
 		return nil
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -977,7 +977,7 @@
 		t.Fatalf("with nothing known %d and %d of 200 go", a, b)
 	}
 	for id := uint64(1); id < 4; id++ { // q answers at its aim
-		q := &request{class: &g.r.classes[anyRead]}
+		q := &request{class: g.r.classes[anyRead]}
 		g.r.observe(g.r.members["q"], &attempt{q: q, m: g.r.members["q"]}, float64(q.class.Aim))
 		g.now += time.Second
 		g.run(5 * ms)
--- a/decide/state.go
+++ b/decide/state.go
@@ -12,27 +12,28 @@
 	groups              map[int64]*group
 	order               []*group // by first listing
 	requests            map[uint64]*request
-	open                []*request // owed a final answer, by arrival
-	classes             []class
-	credit              []float64  // of each tenant, in requests inside its share
-	retries             float64    // retry budget
-	lossy               float64    // part of the attempts lately whose answers were lost
-	waits               int        // requests held
-	replicas, primaries alike      // what little is known of one is taken from
-	usual               float64    // work of first tries, fading by requests
-	reads, writes       float64    // work asked for, fading as usual does
-	inList              float64    // members in the list
-	floor               Time       // newest commit in a group that has been forgotten
-	parts               [4]float64 // what may be used of each shared budget, 1 = this front's own part
-	granted, denied     [4]float64 // of what was asked of them, see Wanted
-	freshFor            Time       // tightest bound
-	seekGap             Time       // between looks at a member that may be primary
-	reportAge           Time       // usual age of the positions that probes bring
+	open                []*request        // owed a final answer, by arrival
+	classes             []*class          // as in cfg
+	known               map[string]*class // by name, with those of the settings before
+	credit              []float64         // of each tenant, in requests inside its share
+	retries             float64           // retry budget
+	lossy               float64           // part of the attempts lately whose answers were lost
+	waits               int               // requests held
+	replicas, primaries alike             // what little is known of one is taken from
+	usual               float64           // work of first tries, fading by requests
+	reads, writes       float64           // work asked for, fading as usual does
+	inList              float64           // members in the list
+	floor               Time              // newest commit in a group that has been forgotten
+	parts               [4]float64        // what may be used of each shared budget, 1 = this front's own part
+	granted, denied     [4]float64        // of what was asked of them, see Wanted
+	freshFor            Time              // tightest bound
+	seekGap             Time              // between looks at a member that may be primary
+	reportAge           Time              // usual age of the positions that probes bring
 
 	wakeAt, sweptAt, logAt, askAt, askGap Time
 }
 
-// class is a Class with its learned cost.
+// class is a Class with its learned cost. Requests hold it: its Class never changes.
 type class struct {
 	Class
 	cost    float64 // SELF's execution time, in ns
@@ -102,6 +103,7 @@
 	group                  *group
 	session                string
 	arrived, aim, deadline Time
+	most                   int     // attempts allowed, 0 = no limit
 	token                  Time    // position that a session read needs
 	floor                  Time    // position that any read of it needs, never = none
 	luck                   float64 // seeded chance, drawn once
@@ -139,6 +141,44 @@
 // leaderless tells that the group may well have another primary than p, the one last known.
 func (g *group) leaderless(p *member) bool { return p == nil || p.suspect || p.State == Draining }
 
+// tune takes settings that are valid. Classes of the settings before are known until the next, as fronts may still
+// name them; what is known of a class is passed on to the next of its name.
+func (r *Router) tune(cfg Config) {
+	before := r.classes
+	r.cfg, r.classes, r.freshFor = cfg, nil, 0
+	r.seekGap = max(seekEvery, seekEach*Time(cfg.Fronts))
+	r.credit = append(r.credit, make([]float64, len(cfg.Tenants)-len(r.credit))...)
+	known := map[string]*class{}
+	for _, k := range before {
+		known[k.Name] = k
+	}
+	for i := range cfg.Classes {
+		c := &cfg.Classes[i]
+		k := r.classOf(c)
+		known[c.Name] = k
+		r.classes = append(r.classes, k)
+		if c.Consistency == Bounded && (r.freshFor == 0 || c.Bound < r.freshFor) {
+			r.freshFor = c.Bound
+		}
+	}
+	r.known = known
+	if r.freshFor == 0 {
+		r.freshFor = seekEvery * 2
+	}
+}
+
+// classOf is the record of a class, a new one where none is held or another class has its name.
+func (r *Router) classOf(c *Class) *class {
+	k := r.known[c.Name]
+	switch {
+	case k == nil:
+		return &class{Class: *c, cost: costGuess * float64(c.Aim)}
+	case k.Class == *c:
+		return k
+	}
+	return &class{Class: *c, cost: k.cost, longest: k.longest}
+}
+
 // demand is the work asked for of k's kind.
 func (r *Router) demand(k *class) *float64 {
 	if k.Writes() {
@@ -150,8 +190,8 @@
 // leastCost is the cost of the cheapest class.
 func (r *Router) leastCost() float64 {
 	c := r.classes[0].cost
-	for i := range r.classes {
-		c = min(c, r.classes[i].cost)
+	for _, k := range r.classes {
+		c = min(c, k.cost)
 	}
 	return c
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -68,7 +68,8 @@
 // Request is one client request. The front fills in the first fields, and
 // leaves them alone once it has handed the request over.
 type Request struct {
-	Class, Tenant int // places in the settings; Tenant -1 = none
+	Class         *decide.Class // as it was when the request was taken; the settings may change
+	Place, Tenant int           // places of the names of its class and customer; Tenant -1 = none
 	Group         int64
 	Front         string // which front it came by, in one word
 	Session       string
@@ -152,7 +153,7 @@
 	// Tried tells how an attempt or a probe at a member ended.
 	Tried(member string, r decide.Result)
 	// Ended tells of a final answer, and how long after the request's arrival it came.
-	Ended(class int, v Verdict, took Time)
+	Ended(q *Request, v Verdict, took Time)
 }
 
 // Core owns the module. See Run.
@@ -324,7 +325,7 @@
 	c.requests[q.id] = q
 	now := c.Now()
 	q.arrived = now
-	e := decide.Event{Kind: decide.Arrive, Request: q.id, Class: q.Class, Tenant: q.Tenant, Group: q.Group,
+	e := decide.Event{Kind: decide.Arrive, Request: q.id, As: q.Class, Tenant: q.Tenant, Group: q.Group,
 		Session: q.Session, AtLeast: q.AtLeast, IsRetry: q.Retry, Remaining: q.Until - now}
 	if q.Written > 0 {
 		e.HasToken, e.TokenAge = true, max(now-q.Written, 0)
@@ -349,7 +350,7 @@
 	}
 	q.Client.Answer(a)
 	if c.witness != nil {
-		c.witness.Ended(q.Class, a.Verdict, c.Now()-q.arrived)
+		c.witness.Ended(q, a.Verdict, c.Now()-q.arrived)
 	}
 	if c.watch != nil {
 		c.watch.answered(c.Now(), q, &a, why)
--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -106,7 +106,7 @@
 // answered makes the record of a final answer.
 func (w *watch) answered(now Time, q *Request, a *Answer, why record.Cause) {
 	r := &w.rec
-	*r = record.Record{Kind: record.Request, At: now, Class: q.Class, Tenant: q.Tenant, Front: q.Front, Outcome: record.Served,
+	*r = record.Record{Kind: record.Request, At: now, Class: q.Place, Tenant: q.Tenant, Front: q.Front, Outcome: record.Served,
 		Cause: why, After: a.After, Attempts: len(q.attempts), Waiting: now - q.arrived, Total: now - q.arrived,
 		Session: q.Session, Group: q.Group}
 	switch a.Verdict {
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -13,6 +13,7 @@
 	"reachwind/internal/core"
 	"reachwind/internal/discovery"
 	"reachwind/internal/settings"
+	"reachwind/internal/terms"
 )
 
 // Config is a gateway's configuration, read and checked.
@@ -26,6 +27,8 @@
 	sockets int
 	version int64
 	facts   *settings.Facts
+	terms   *terms.Book     // in force, once it runs
+	shape   *settings.Shape // what a file read at SIGHUP must hold again
 }
 
 const defaultSockets = 1024
@@ -97,5 +100,12 @@
 	if c.Decide, err = c.facts.Config(); err != nil {
 		return nil, err
 	}
-	return c, c.Decide.Validate()
+	if err := c.Decide.Validate(); err != nil {
+		return nil, err
+	}
+	if c.shape, err = settings.ShapeOf(text); err != nil {
+		return nil, err
+	}
+	c.terms, err = terms.NewBook(c.Decide)
+	return c, err
 }
--- a/internal/gateway/edge.go
+++ b/internal/gateway/edge.go
@@ -17,6 +17,7 @@
 	"reachwind/internal/logship"
 	"reachwind/internal/pgwire"
 	"reachwind/internal/restfront"
+	"reachwind/internal/terms"
 )
 
 // Edge is the product configuration, read and checked. A part that is nil is off.
@@ -28,18 +29,14 @@
 
 // LoadEdge reads the product configuration at path for a gateway. An error may hold many faults, see
 // edgeconf.Faults.
-func LoadEdge(path string, c *Config) (*Edge, error) {
+func LoadEdge(path string, c *Config) (*Edge, error) { return loadEdge(path, c, c.terms.Now().Names) }
+
+// loadEdge is LoadEdge with the names that records may hold.
+func loadEdge(path string, c *Config, names terms.Names) (*Edge, error) {
 	e := new(Edge)
 	err := edgeconf.Load(path, func(b *edgeconf.Block) {
 		b.Blocks("syslog", false, func(b *edgeconf.Block) {
-			names := logship.Names{}
-			for i := range c.Decide.Classes {
-				names.Classes = append(names.Classes, c.Decide.Classes[i].Name)
-			}
-			for i := range c.Decide.Tenants {
-				names.Customers = append(names.Customers, c.Decide.Tenants[i].Name)
-			}
-			s := logship.Read(b, names)
+			s := logship.Read(b, logship.Names(names))
 			if s.Syslog.Hostname == "" {
 				s.Syslog.Hostname = c.Name
 			}
@@ -49,7 +46,7 @@
 		})
 		b.Blocks("rest", false, func(b *edgeconf.Block) {
 			r := restfront.Read(b)
-			r.Classes, r.Tenants, r.ComeBack = c.Decide.Classes, c.Decide.Tenants, c.Decide.MaxRetryAfter
+			r.Terms = c.terms
 			e.REST = &r
 		})
 		b.Blocks("fleet", false, func(b *edgeconf.Block) {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -142,7 +142,6 @@
 type sees struct {
 	f      *fleet.Fleet
 	counts *subscribe.Counts
-	aims   []core.Time // by class
 	g      *told
 }
 
@@ -156,17 +155,14 @@
 }
 
 // Ended implements core.Witness.
-func (s sees) Ended(class int, v core.Verdict, took core.Time) {
-	if class < 0 || class >= len(s.aims) {
-		return
-	}
-	c := &s.counts.Classes[min(class, agreed.ClassesMost-1)]
+func (s sees) Ended(q *core.Request, v core.Verdict, took core.Time) {
+	c := &s.counts.Classes[min(q.Place, agreed.ClassesMost-1)]
 	c.Requests++
 	if v != core.Served {
 		c.Refused++
 		return
 	}
-	if took > s.aims[class] {
+	if took > q.Class.Aim {
 		c.Late++
 	}
 	s.counts.Latency[agreed.Bucket(took.Microseconds())]++
@@ -205,18 +201,14 @@
 	own := *conf
 	own.Version = g.o.Version
 	counts := new(subscribe.Counts)
-	var aims []core.Time
-	for i := range g.c.Decide.Classes {
-		aims = append(aims, g.c.Decide.Classes[i].Aim)
-	}
 	way := &told{running: g, counts: counts, tried: map[string]subscribe.Tried{}}
 	f, err := fleet.Start(own, fleet.Deps{Log: g.o.Log, Zone: g.c.Decide.Zone, Wall: wall, Gateway: way,
-		Longest: lastCall(g.c.Decide.Classes),
+		Longest: lastCall(g.c.terms.Now().Longest),
 		Load:    func() float64 { return float64(g.claims.Len()) / float64(max(1, buffers)) }})
 	if err != nil {
 		return part{}, err
 	}
-	g.owner.Tell(sees{f, counts, aims, way})
+	g.owner.Tell(sees{f, counts, way})
 	g.fleet = f
 	return part{
 		name: "fleet",
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -137,11 +137,11 @@
 // reload takes from the configuration what may change while the gateway runs: all of it, or nothing where any
 // part of it can't be used.
 func (g *running) reload() {
-	c, err := Load(g.o.Path)
+	next, err := g.reread()
 	var apply []func()
 	if err == nil && g.o.Edge != "" {
 		var edge *Edge
-		if edge, err = LoadEdge(g.o.Edge, g.c); err == nil {
+		if edge, err = loadEdge(g.o.Edge, g.c, next.terms.Names); err == nil {
 			running := map[string]bool{}
 			for _, p := range g.parts {
 				running[p.name] = true
@@ -171,8 +171,9 @@
 	for _, f := range apply {
 		f()
 	}
-	g.o.Log.Info("reloaded", "discovery", c.Discovery)
-	g.dir.Move(c.Discovery)
+	g.retune(next)
+	g.o.Log.Info("reloaded", "discovery", next.conf.Discovery)
+	g.dir.Move(next.conf.Discovery)
 }
 
 // Run serves listener until term ends.
@@ -203,15 +204,9 @@
 		dial = o.Dial
 	}
 	share := c.Budget(edge)
-	f := c.facts
 	bufs := pgwire.NewPool(share.Buffers)
 	owner := core.New(core.NewClock(), router, log)
-	pool := pgmember.New(owner, pgmember.Config{User: user, Database: database,
-		Max:     share.Members,
-		Idle:    span(f.Allowed.IdleCloseUs, idleUsual),
-		Connect: span(f.Allowed.ConnectTimeoutUs, connectUsual),
-		Grace:   span(f.Rules.StopSendingWithinUs, graceUsual), DrainOnly: f.Rules.DrainBindsAlone,
-		Names: f.Feedback.Names}, bufs, dial, log)
+	pool := pgmember.New(owner, members(c.facts, share.Members), bufs, dial, log)
 	list := discovery.Sink(owner.List)
 	var over *overlay
 	if edge.Fleet != nil && len(edge.Fleet.Council) > 0 {
@@ -245,9 +240,8 @@
 		g.parts = append(g.parts, p)
 	}
 	list(decide.ListSaved, c.Known)
-	g.front = pgfront.New(owner, pgfront.Config{Classes: c.Decide.Classes, Tenants: c.Decide.Tenants,
+	g.front = pgfront.New(owner, pgfront.Config{Terms: c.terms,
 		Max: share.Clients, Spare: int(sparePart * float64(share.Sockets)),
-		ComeBack:  c.Decide.MaxRetryAfter,
 		Keep:      int(bufferReserve * float64(share.Buffers)),
 		StartWait: startWait, WriteWait: writeWait, RefuseWait: refuseWait, IdleMost: idleMost, IdleKeep: int(idlePart * float64(share.Sockets)), Claims: g.claims}, bufs, log)
 	return g, nil
@@ -290,7 +284,7 @@
 	}
 	drained := make(chan struct{})
 	go func() {
-		g.drain(lastCall(c.Decide.Classes))
+		g.drain(lastCall(c.terms.Now().Longest))
 		close(drained)
 	}()
 	err := windDown(c, g.front, listener, accept, log)
@@ -332,7 +326,7 @@
 // the platform would end it.
 func windDown(c *Config, front *pgfront.Server, listener net.Listener, accept time.Duration, log *slog.Logger) error {
 	log.Info("stopping", "accept_for", accept)
-	late := time.After(lastCall(c.Decide.Classes))
+	late := time.After(lastCall(c.terms.Now().Longest))
 	time.Sleep(accept)
 	_ = listener.Close()
 	done := make(chan struct{})
@@ -351,17 +345,6 @@
 
 // lastCall is how long after SIGTERM the gateway may still run: SIGKILL follows
 // the longest deadline, which the platform takes as 3 s where it is longer.
-func lastCall(classes []decide.Class) time.Duration {
-	longest := time.Duration(0)
-	for i := range classes {
-		longest = max(longest, classes[i].Deadline)
-	}
+func lastCall(longest time.Duration) time.Duration {
 	return min(longest, longestMost) + lastMoment
 }
-
-func span(us int64, usual time.Duration) time.Duration {
-	if us <= 0 {
-		return usual
-	}
-	return time.Duration(us) * time.Microsecond
-}
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -375,11 +375,11 @@
 	if err != nil {
 		return nil, err
 	}
-	class, ok := c.s.classes[st.Class]
+	t := c.s.conf.Terms.Now()
+	k, ok := t.Class(st.Class, came)
 	if !ok {
 		return nil, fmt.Errorf("unknown class %.40q", st.Class)
 	}
-	k := &c.s.conf.Classes[class]
 	switch {
 	case st.Read == k.Writes():
 		return nil, fmt.Errorf("class %q takes no such statement", st.Class)
@@ -389,11 +389,7 @@
 		return nil, errInUse
 	}
 	st.Done = func() { c.s.conf.Claims.Disclaim(st.ID) }
-	tenant, ok := c.s.tenants[st.Tenant]
-	if !ok {
-		tenant = -1
-	}
-	q := &core.Request{Class: class, Tenant: tenant, Front: front, Group: st.Cluster, Retry: st.Retry,
+	q := &core.Request{Class: k.Class, Place: k.Place, Tenant: t.Tenant(st.Tenant), Front: front, Group: st.Cluster, Retry: st.Retry,
 		Written: core.Time(st.After) * time.Millisecond, Call: st,
 		Until: came + min(core.Time(min(st.Wait, maxWait))*time.Millisecond, k.Deadline)}
 	if k.HasSession() {
@@ -448,10 +444,11 @@
 }
 
 func (c *conn) comeBack() string {
-	if c.s.conf.ComeBack <= 0 {
+	after := c.s.conf.Terms.Now().ComeBack
+	if after <= 0 {
 		return ""
 	}
-	return strconv.FormatInt(c.s.conf.ComeBack.Milliseconds(), 10)
+	return strconv.FormatInt(after.Milliseconds(), 10)
 }
 
 func (c *conn) write(b []byte) error {
--- a/internal/pgfront/conn_test.go
+++ b/internal/pgfront/conn_test.go
@@ -21,6 +21,7 @@
 	"reachwind/internal/core"
 	"reachwind/internal/pgwire"
 	"reachwind/internal/record"
+	"reachwind/internal/terms"
 )
 
 const buffers = 6
@@ -94,10 +95,14 @@
 
 func newServer(f *fakeCore, most int) (*Server, *pgwire.Pool) {
 	bufs := pgwire.NewPool(buffers)
-	return New(f, Config{
+	book, err := terms.NewBook(&decide.Config{MaxRetryAfter: 500 * time.Millisecond,
 		Classes: []decide.Class{{Name: "r", Deadline: time.Second},
 			{Name: "w", Consistency: decide.Write, Effect: decide.Keyed, Deadline: time.Second}},
-		Tenants: []decide.Tenant{{Name: "t"}}, Max: most, Spare: 2, ComeBack: 500 * time.Millisecond, Keep: 1,
+		Tenants: []decide.Tenant{{Name: "t"}}})
+	if err != nil {
+		panic(err)
+	}
+	return New(f, Config{Terms: book, Max: most, Spare: 2, Keep: 1,
 		StartWait: time.Second, WriteWait: time.Second, RefuseWait: time.Second}, bufs, slog.New(slog.DiscardHandler)), bufs
 }
 
--- a/internal/pgfront/server.go
+++ b/internal/pgfront/server.go
@@ -12,21 +12,19 @@
 	"sync"
 	"time"
 
-	"reachwind/decide"
 	"reachwind/internal/call"
 	"reachwind/internal/core"
 	"reachwind/internal/often"
 	"reachwind/internal/pgwire"
 	"reachwind/internal/record"
+	"reachwind/internal/terms"
 )
 
 // Config holds what the front is told.
 type Config struct {
-	Classes    []decide.Class
-	Tenants    []decide.Tenant
+	Terms      *terms.Book
 	Max        int           // client connections; for more, idle ones are ended
 	Spare      int           // connections above Max, half for those being ended, half for those being refused
-	ComeBack   time.Duration // told to those refused for want of room, 0 = nothing
 	Keep       int           // buffers left to the members when statements take the rest
 	StartWait  time.Duration // the first command, and each message once begun, must have come by then
 	WriteWait  time.Duration // an answer must have been taken by then
@@ -48,12 +46,10 @@
 
 // Server accepts client connections.
 type Server struct {
-	core    Core
-	log     *slog.Logger
-	conf    Config
-	bufs    *pgwire.Pool
-	classes map[string]int
-	tenants map[string]int
+	core Core
+	log  *slog.Logger
+	conf Config
+	bufs *pgwire.Pool
 
 	mu       sync.Mutex
 	conns    map[*conn]bool
@@ -74,17 +70,10 @@
 
 // New returns a server that hands its requests to c.
 func New(c Core, conf Config, bufs *pgwire.Pool, log *slog.Logger) *Server {
-	s := &Server{core: c, log: log, conf: conf, bufs: bufs,
-		classes: map[string]int{}, tenants: map[string]int{}, conns: map[*conn]bool{}}
+	s := &Server{core: c, log: log, conf: conf, bufs: bufs, conns: map[*conn]bool{}}
 	if s.conf.Claims == nil {
 		s.conf.Claims = call.NewClaims()
 	}
-	for i := range conf.Classes {
-		s.classes[conf.Classes[i].Name] = i
-	}
-	for i := range conf.Tenants {
-		s.tenants[conf.Tenants[i].Name] = i
-	}
 	return s
 }
 
--- a/internal/pgmember/conn.go
+++ b/internal/pgmember/conn.go
@@ -66,7 +66,7 @@
 // start connects in the background.
 func (c *conn) start() {
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), c.p.conf.Connect)
+		ctx, cancel := context.WithTimeout(context.Background(), c.p.conf.Load().Connect)
 		result, err := c.connect(ctx)
 		if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) { // may be chance: if the member is down, the next is refused
 			if c.Conn != nil {
@@ -109,7 +109,7 @@
 	c.Conn = wake.New[order](nc, readSize)
 	until, _ := ctx.Deadline()
 	_ = nc.SetDeadline(until)
-	if _, err := nc.Write(pgwire.AppendStartup(nil, c.p.conf.User, c.p.conf.Database)); err != nil {
+	if _, err := nc.Write(pgwire.AppendStartup(nil, c.p.conf.Load().User, c.p.conf.Load().Database)); err != nil {
 		return decide.Unreachable, err
 	}
 	var a answer
@@ -213,7 +213,7 @@
 
 // exchange writes a job's statement and reads the whole answer.
 func (c *conn) exchange(j *job, a *answer) (o core.Outcome) {
-	query, until := net.Buffers{pgwire.Append(nil, 'Q', "SHOW health\x00")}, c.p.core.Now()+c.p.conf.Connect
+	query, until := net.Buffers{pgwire.Append(nil, 'Q', "SHOW health\x00")}, c.p.core.Now()+c.p.conf.Load().Connect
 	if j.attempt != nil {
 		until = j.attempt.Until
 		wait := max((until - c.p.core.Now()).Milliseconds(), 1)
@@ -269,7 +269,7 @@
 // report reads the figures that the settings name.
 func (c *conn) report(r *decide.Report, text []byte) {
 	pgwire.Pairs(text, func(name string, v float64) {
-		for _, n := range c.p.conf.Names {
+		for _, n := range c.p.conf.Load().Names {
 			if n == name {
 				settings.Report(r, 0, name, v)
 			}
--- a/internal/pgmember/pool.go
+++ b/internal/pgmember/pool.go
@@ -7,6 +7,7 @@
 import (
 	"log/slog"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"reachwind/decide"
@@ -38,7 +39,7 @@
 type Pool struct {
 	core    *core.Core
 	log     *slog.Logger
-	conf    Config
+	conf    atomic.Pointer[Config] // connections read it on their own goroutines
 	bufs    *pgwire.Pool
 	dial    Dialer
 	members map[string]*member
@@ -68,12 +69,20 @@
 
 // New returns a pool that reports to c.
 func New(c *core.Core, conf Config, bufs *pgwire.Pool, dial Dialer, log *slog.Logger) *Pool {
-	p := &Pool{core: c, log: log, conf: conf, bufs: bufs, dial: dial,
+	p := &Pool{core: c, log: log, bufs: bufs, dial: dial,
 		members: map[string]*member{}, jobs: map[*core.Attempt]*job{}}
+	p.conf.Store(&conf)
 	c.Post(p.sweep)
 	return p
 }
 
+// Retune takes another configuration from now on; its Max holds from the start. It is the owner's to call. Connections
+// and jobs that are open keep the waits that they began with.
+func (p *Pool) Retune(conf Config) {
+	conf.Max = p.conf.Load().Max
+	p.conf.Store(&conf)
+}
+
 // Sizes are the lengths of the pool's tables.
 type Sizes struct{ Members, Connections, Jobs int }
 
@@ -98,9 +107,9 @@
 			p.closeIdle(m, 0)
 		}
 		m.left = l.State == decide.Removed
-		p.want(m, l.State == decide.Up || m.left && p.conf.DrainOnly)
+		p.want(m, l.State == decide.Up || m.left && p.conf.Load().DrainOnly)
 	}
-	if kind == decide.ListChange || p.conf.DrainOnly {
+	if kind == decide.ListChange || p.conf.Load().DrainOnly {
 		return
 	}
 	for id, m := range p.members {
@@ -134,7 +143,7 @@
 	if m.unwanted == 0 {
 		return 0
 	}
-	return m.unwanted + core.Time(gracePart*float64(p.conf.Grace))
+	return m.unwanted + core.Time(gracePart*float64(p.conf.Load().Grace))
 }
 
 // Send starts an attempt.
@@ -157,7 +166,7 @@
 		return
 	}
 	j := &job{m: m}
-	p.core.After(p.core.Now()+p.conf.Connect, func() { p.stop(j, decide.TimedOut) })
+	p.core.After(p.core.Now()+p.conf.Load().Connect, func() { p.stop(j, decide.TimedOut) })
 	p.start(j)
 }
 
@@ -202,7 +211,7 @@
 // make opens connections for the jobs that wait, within the limit of descriptors.
 func (p *Pool) make(m *member) {
 	for m.making < len(m.waiting) {
-		if p.open >= p.conf.Max && !p.evict() {
+		if p.open >= p.conf.Load().Max && !p.evict() {
 			p.short.Warn(p.log, "out of member connections", "open", p.open, "member", m.id)
 			p.finish(m.waiting[len(m.waiting)-1], core.Outcome{Result: decide.NotSent})
 			continue
@@ -237,7 +246,7 @@
 			delete(p.members, id)
 			continue
 		}
-		p.closeIdle(m, p.core.Now()-core.Time(idlePart*float64(p.conf.Idle))+sweepEvery)
+		p.closeIdle(m, p.core.Now()-core.Time(idlePart*float64(p.conf.Load().Idle))+sweepEvery)
 	}
 	p.core.After(p.core.Now()+sweepEvery, p.sweep)
 }
--- a/internal/restfront/server.go
+++ b/internal/restfront/server.go
@@ -29,22 +29,21 @@
 	"reachwind/internal/cursor"
 	"reachwind/internal/pgwire"
 	"reachwind/internal/record"
+	"reachwind/internal/terms"
 )
 
 // Config holds what the front is told.
 type Config struct {
-	Listen   string
-	Max      int           // connections
-	Body     int64         // bytes of a value
-	Header   time.Duration // a request's header must have come by then
-	Read     time.Duration // and all of it by then
-	Write    time.Duration // an answer must have been taken by then, on top of what the client waits
-	Idle     time.Duration // a connection idle for longer ends
-	Classes  []decide.Class
-	Tenants  []decide.Tenant
-	ComeBack time.Duration // told to those refused for want of room, 0 = nothing
-	Keys     string        // file with the keys of cursors; empty: a key of this process alone
-	Life     time.Duration // of a cursor
+	Listen string
+	Max    int           // connections
+	Body   int64         // bytes of a value
+	Header time.Duration // a request's header must have come by then
+	Read   time.Duration // and all of it by then
+	Write  time.Duration // an answer must have been taken by then, on top of what the client waits
+	Idle   time.Duration // a connection idle for longer ends
+	Terms  *terms.Book
+	Keys   string        // file with the keys of cursors; empty: a key of this process alone
+	Life   time.Duration // of a cursor
 }
 
 const (
@@ -63,35 +62,27 @@
 
 // Server accepts clients.
 type Server struct {
-	core    Core
-	conf    Config
-	log     *slog.Logger
-	claims  *call.Claims
-	classes map[string]int
-	tenants map[string]int
-	ring    atomic.Pointer[cursor.Ring]
-	prefix  string // of ids that it gives
-	last    atomic.Uint64
-	http    http.Server
-	l       net.Listener
-	open    atomic.Int64
-	done    sync.WaitGroup
+	core   Core
+	conf   Config
+	log    *slog.Logger
+	claims *call.Claims
+	ring   atomic.Pointer[cursor.Ring]
+	prefix string // of ids that it gives
+	last   atomic.Uint64
+	http   http.Server
+	l      net.Listener
+	open   atomic.Int64
+	done   sync.WaitGroup
 }
 
 // New returns a server that hands its requests to c. Ids in work are shared with the other fronts by claims.
 func New(c Core, conf Config, claims *call.Claims, log *slog.Logger) (*Server, error) {
-	s := &Server{core: c, conf: conf, log: log, claims: claims, classes: map[string]int{}, tenants: map[string]int{}}
+	s := &Server{core: c, conf: conf, log: log, claims: claims}
 	ring, err := conf.ring()
 	if err != nil {
 		return nil, err
 	}
 	s.ring.Store(ring)
-	for i := range conf.Classes {
-		s.classes[conf.Classes[i].Name] = i
-	}
-	for i := range conf.Tenants {
-		s.tenants[conf.Tenants[i].Name] = i
-	}
 	var b [6]byte
 	_, _ = rand.Read(b[:])
 	s.prefix = "rest-" + hex.EncodeToString(b[:]) + "-"
@@ -238,20 +229,17 @@
 	if item == "" || len(item) > 256 || !utf8.ValidString(item) || strings.ContainsRune(item, 0) {
 		return bad("id", "the id has %d bytes, want 1 to 256 of UTF-8 without zeros", len(item))
 	}
-	class, ok := s.classes[h.Get("Reachwind-Class")]
+	t := s.conf.Terms.Now()
+	k, ok := t.Class(h.Get("Reachwind-Class"), came)
 	if !ok {
 		return bad("class", "the class is %.40q, want one of the settings in Reachwind-Class", h.Get("Reachwind-Class"))
 	}
-	k := &s.conf.Classes[class]
 	if k.Writes() != (op == call.Write) {
 		return bad("class", "class %q takes no %s", k.Name, r.Method)
 	}
-	tenant, ok := s.tenants[h.Get("Reachwind-Tenant")]
-	if !ok {
-		tenant = -1
-		if t := h.Get("Reachwind-Tenant"); t != "" && !pgwire.Plain(t) {
-			return bad("tenant", "the tenant is %.40q, want a plain name", t)
-		}
+	tenant := t.Tenant(h.Get("Reachwind-Tenant"))
+	if name := h.Get("Reachwind-Tenant"); tenant < 0 && name != "" && !pgwire.Plain(name) {
+		return bad("tenant", "the tenant is %.40q, want a plain name", name)
 	}
 	wait := defaultWait
 	if d := h.Get("Reachwind-Deadline-Ms"); d != "" {
@@ -293,7 +281,7 @@
 		return nil, nil, &problem{kind: "request-id-in-use", status: http.StatusConflict, detail: "a request with this id is in work", outcome: record.Failed, cause: record.InUse}
 	}
 	c.Done = func() { s.claims.Disclaim(c.ID) }
-	q := &core.Request{Class: class, Tenant: tenant, Group: cluster, Retry: c.Retry, Front: front, Call: c, AtLeast: atLeast, Until: came + min(core.Time(min(wait, call.MaxWait)), k.Deadline)}
+	q := &core.Request{Class: k.Class, Place: k.Place, Tenant: tenant, Group: cluster, Retry: c.Retry, Front: front, Call: c, AtLeast: atLeast, Until: came + min(core.Time(min(wait, call.MaxWait)), k.Deadline)}
 	if k.HasSession() {
 		if q.Session = h.Get("Reachwind-Session"); q.Session == "" {
 			q.Session = c.Item // as in PostgreSQL, where the quoted key names it
--- /dev/null
+++ b/internal/terms/terms.go
@@ -0,0 +1,161 @@
+// Package terms is what fronts take requests by: the classes and customers that the settings name. Settings may
+// change while requests are on their way, so each request carries its class as it was when it was taken, and all
+// fronts of a gateway share one [Book], whose terms change in one moment.
+package terms
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"reachwind/decide"
+)
+
+const (
+	// Linger is how long a class that the settings no longer hold is served on, as it was: requests that name it
+	// may be on their way from clients that know no better.
+	Linger = 1200 * time.Millisecond
+	// NamesMost bounds the names that a process gives places to, of classes and of customers each.
+	NamesMost = 1024
+)
+
+// Class is a class that requests may name.
+type Class struct {
+	*decide.Class               // never changes
+	Place         int           // of its name among Names.Classes; another class of its name has the same
+	until         time.Duration // it left the settings and is served until then; 0 = it is in them
+}
+
+// Names are the names of classes and customers by their places. A name keeps its place for the process's life.
+type Names struct{ Classes, Customers []string }
+
+// Terms are what is served at a time. They never change.
+type Terms struct {
+	Names    Names
+	Longest  time.Duration // deadline of any class
+	ComeBack time.Duration // told to those refused for want of room, 0 = nothing
+	classes  map[string]Class
+	tenants  map[string]int
+}
+
+// Book holds the terms in force. It is safe for concurrent use.
+type Book struct{ now atomic.Pointer[Terms] }
+
+// NewBook returns a book that opens with cfg's terms.
+func NewBook(cfg *decide.Config) (*Book, error) {
+	b := new(Book)
+	b.now.Store(new(Terms))
+	t, _, err := b.Next(cfg, 0)
+	if err != nil {
+		return nil, err
+	}
+	b.Turn(t)
+	return b, nil
+}
+
+// Now are the terms in force.
+func (b *Book) Now() *Terms { return b.now.Load() }
+
+// Turn has new terms hold from now on.
+func (b *Book) Turn(t *Terms) { b.now.Store(t) }
+
+// Class finds the class of a name at a time.
+func (t *Terms) Class(name string, now time.Duration) (Class, bool) {
+	k, ok := t.classes[name]
+	return k, ok && (k.until == 0 || now < k.until)
+}
+
+// Tenant is the place of a customer, -1 for one that the settings don't hold.
+func (t *Terms) Tenant(name string) int {
+	if place, ok := t.tenants[name]; ok {
+		return place
+	}
+	return -1
+}
+
+// Next makes the terms that follow those in force when the settings become cfg at a time, and cfg as the module must
+// have it: with customers at the places that they have, those that left without a share. It changes nothing.
+func (b *Book) Next(cfg *decide.Config, now time.Duration) (*Terms, *decide.Config, error) {
+	was := b.Now()
+	t := &Terms{ComeBack: cfg.MaxRetryAfter, classes: map[string]Class{}, tenants: map[string]int{}}
+	for name, k := range was.classes {
+		if k.until == 0 {
+			k.until = now + Linger
+		}
+		if now < k.until {
+			t.classes[name] = k
+		}
+	}
+	t.Names.Classes = append(t.Names.Classes, was.Names.Classes...)
+	places := map[string]int{}
+	for i, name := range t.Names.Classes {
+		places[name] = i
+	}
+	own := *cfg
+	own.Classes = append([]decide.Class(nil), cfg.Classes...)
+	for i := range own.Classes {
+		k := &own.Classes[i]
+		place, ok := places[k.Name]
+		if !ok {
+			place = len(t.Names.Classes)
+			places[k.Name] = place
+			t.Names.Classes = append(t.Names.Classes, k.Name)
+		}
+		t.classes[k.Name] = Class{Class: k, Place: place}
+		t.Longest = max(t.Longest, k.Deadline)
+	}
+	own.Tenants = nil
+	at := map[string]int{}
+	for i, name := range was.Names.Customers {
+		at[name] = i
+		own.Tenants = append(own.Tenants, decide.Tenant{Name: name})
+	}
+	for _, c := range cfg.Tenants {
+		place, ok := at[c.Name]
+		if !ok {
+			place = len(own.Tenants)
+			at[c.Name] = place
+			own.Tenants = append(own.Tenants, c)
+		}
+		own.Tenants[place] = c
+		t.tenants[c.Name] = place
+	}
+	for _, c := range own.Tenants {
+		t.Names.Customers = append(t.Names.Customers, c.Name)
+	}
+	for what, n := range map[string]int{"classes": len(t.Names.Classes), "customers": len(t.Names.Customers)} {
+		if n > NamesMost {
+			return nil, nil, &NamesError{What: what, Found: n}
+		}
+	}
+	return t, &own, nil
+}
+
+// NamesError tells of settings that bring more names than a process may have seen.
+type NamesError struct {
+	What  string // classes or customers
+	Found int
+}
+
+func (e *NamesError) Error() string {
+	return fmt.Sprintf("settings bring this process to %d names of %s since its start, want %d at most: start a new process, which counts anew",
+		e.Found, e.What, NamesMost)
+}
+
+// Against tells which classes came, changed and left since the terms before.
+func (t *Terms) Against(was *Terms) (came, changed, left []string) {
+	for _, name := range t.Names.Classes {
+		k, now := t.classes[name]
+		o, before := was.classes[name]
+		now, before = now && k.until == 0, before && o.until == 0
+		switch {
+		case now && !before:
+			came = append(came, name)
+		case before && !now:
+			left = append(left, name)
+		case now && *k.Class != *o.Class:
+			changed = append(changed, name)
+		}
+	}
+	return came, changed, left
+}
