--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -68,11 +68,11 @@
 // Request is one client request. The front fills in the first fields, and
 // leaves them alone once it has handed the request over.
 type Request struct {
-	Class, Tenant int // places in the settings; Tenant -1 = none
+	Class         *decide.Class // as it was when the request was taken; the settings may change
+	Place, Tenant int           // places of the names of its class and customer; Tenant -1 = none
 	Group         int64
 	Front         string // which front it came by, in one word
 	Session       string
-	Writes        bool // a write, whose commit the session's reads must see
 	Written       Time // the session's last write where clients carry it, 0 = none
 	AtLeast       Time // a read must see what was committed by then, 0 = what its class says
 	Retry         bool
@@ -155,7 +155,7 @@
 	// Tried tells how an attempt or a probe at a member ended.
 	Tried(member string, r decide.Result)
 	// Ended tells of a final answer, and how long after the request's arrival it came.
-	Ended(class int, v Verdict, took Time)
+	Ended(q *Request, v Verdict, took Time)
 }
 
 // Ledger shares sessions' commits with another process of the same gateway. Its methods are called on the owner's
@@ -255,7 +255,7 @@
 		}
 		q.begun = true
 		e := decide.Event{Kind: decide.FirstByte, Request: q.id, Member: a.Member, Attempt: a.no, Elapsed: c.Now() - a.sent}
-		if !q.Writes {
+		if !q.writes() {
 			e.Kind, e.Result, e.Ended = decide.Outcome, decide.Served, true
 		}
 		c.events = append(c.events, e)
@@ -367,10 +367,10 @@
 	c.requests[q.id] = q
 	now := c.Now()
 	q.arrived = now
-	if c.ledger != nil && q.Session != "" && !q.Writes {
+	if c.ledger != nil && q.Session != "" && !q.writes() {
 		q.AtLeast = max(q.AtLeast, c.ledger.Committed(q.Group, q.Session))
 	}
-	e := decide.Event{Kind: decide.Arrive, Request: q.id, Class: q.Class, Tenant: q.Tenant, Group: q.Group,
+	e := decide.Event{Kind: decide.Arrive, Request: q.id, As: q.Class, Tenant: q.Tenant, Group: q.Group,
 		Session: q.Session, AtLeast: q.AtLeast, IsRetry: q.Retry, Remaining: q.Until - now}
 	if q.Written > 0 {
 		e.HasToken, e.TokenAge = true, max(now-q.Written, 0)
@@ -397,7 +397,7 @@
 		q.Client.Answer(a)
 	}
 	if c.witness != nil {
-		c.witness.Ended(q.Class, a.Verdict, c.Now()-q.arrived)
+		c.witness.Ended(q, a.Verdict, c.Now()-q.arrived)
 	}
 	if c.watch != nil {
 		c.watch.answered(c.Now(), q, &a, why)
@@ -405,6 +405,9 @@
 	c.end(q)
 }
 
+// writes tells whether it is a write, whose commit its session's reads must see.
+func (q *Request) writes() bool { return q.Class != nil && q.Class.Writes() }
+
 // mayHaveRun tells whether some attempt may have had its effect.
 func (q *Request) mayHaveRun() bool {
 	for _, a := range q.attempts {
@@ -465,14 +468,14 @@
 	e := decide.Event{Kind: decide.Outcome, Request: q.id, Member: a.Member, Attempt: a.no, Result: o.Result,
 		Elapsed: c.Now() - a.sent, Ended: q.ended || o.Result == decide.Served, Reused: o.Reused,
 		Role: o.Role, Stamped: o.Stamped, Position: o.Position, Report: o.Report}
-	if !q.begun || q.Writes {
+	if !q.begun || q.writes() {
 		e.Ended = e.Ended || q.begun
 		c.events = append(c.events, e)
 	}
 	if o.Stamped {
 		c.watch.learn(a.Member, o.Position)
 	}
-	if c.ledger != nil && o.Result == decide.Served && o.Stamped && q.Writes && q.Session != "" {
+	if c.ledger != nil && o.Result == decide.Served && o.Stamped && q.writes() && q.Session != "" {
 		c.ledger.Commit(q.Group, q.Session, o.Position)
 	}
 	switch {
--- a/internal/pgmember/pass_test.go
+++ b/internal/pgmember/pass_test.go
@@ -30,7 +30,7 @@
 }
 
 func (d *twice) Tried(_ string, r decide.Result)          { d.tried = append(d.tried, r) }
-func (d *twice) Ended(_ int, v core.Verdict, _ core.Time) { d.verdicts = append(d.verdicts, v) }
+func (d *twice) Ended(_ *core.Request, v core.Verdict, _ core.Time) { d.verdicts = append(d.verdicts, v) }
 func (d *twice) Answered(string)                          {}
 func (d *twice) Listed()                                  {}
 
