--- a/internal/pgmember/pass_test.go
+++ b/internal/pgmember/pass_test.go
@@ -18,6 +18,7 @@
 	"reachwind/internal/core"
 	"reachwind/internal/pgfront"
 	"reachwind/internal/pgwire"
+	"reachwind/internal/terms"
 )
 
 // twice stands in for the module: it sends each request to m, and once more unless its answer has begun.
@@ -151,7 +152,11 @@
 	owner.List(decide.ListFull, []core.Listed{{Addr: "a:1", Member: decide.Member{ID: "m", State: decide.Up}}})
 	ctx, cancel := context.WithCancel(t.Context())
 	go owner.Run(ctx)
-	front := pgfront.New(owner, pgfront.Config{Classes: []decide.Class{{Name: "r", Deadline: 400 * time.Millisecond}}, Max: 4,
+	book, err := terms.NewBook(&decide.Config{Classes: []decide.Class{{Name: "r", Deadline: 400 * time.Millisecond}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	front := pgfront.New(owner, pgfront.Config{Terms: book, Max: 4,
 		StartWait: time.Second, WriteWait: 5 * time.Second, RefuseWait: time.Second}, bufs, log)
 	a, b := net.Pipe()
 	front.Handle(b)
