--- a/internal/discovery/silence_test.go
+++ b/internal/discovery/silence_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -191,9 +192,10 @@
 				conn.Close()
 			}
 		}
-		down := true
+		var down atomic.Bool
+		down.Store(true)
 		dial := func(ctx context.Context, addr string) (net.Conn, error) {
-			if down {
+			if down.Load() {
 				return nil, errors.New("refused")
 			}
 			return s.dial(ctx, addr)
@@ -204,7 +206,7 @@
 		go c.Run(ctx)
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
-		down = false
+		down.Store(false)
 		time.Sleep(4 * time.Second)
 		synctest.Wait()
 		s.mu.Lock()
