--- a/internal/discovery/silence_test.go
+++ b/internal/discovery/silence_test.go
@@ -192,9 +192,10 @@
 				conn.Close()
 			}
 		}
-		var up atomic.Bool
+		var down atomic.Bool
+		down.Store(true)
 		dial := func(ctx context.Context, addr string) (net.Conn, error) {
-			if !up.Load() {
+			if down.Load() {
 				return nil, errors.New("refused")
 			}
 			return s.dial(ctx, addr)
@@ -205,7 +206,7 @@
 		go c.Run(ctx)
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
-		up.Store(true)
+		down.Store(false)
 		time.Sleep(4 * time.Second)
 		synctest.Wait()
 		s.mu.Lock()
--- a/internal/pgmember/pass_test.go
+++ b/internal/pgmember/pass_test.go
@@ -30,10 +30,12 @@
 	verdicts    []core.Verdict
 }
 
-func (d *twice) Tried(_ string, r decide.Result)          { d.tried = append(d.tried, r) }
-func (d *twice) Ended(_ *core.Request, v core.Verdict, _ core.Time) { d.verdicts = append(d.verdicts, v) }
-func (d *twice) Answered(string)                          {}
-func (d *twice) Listed()                                  {}
+func (d *twice) Tried(_ string, r decide.Result) { d.tried = append(d.tried, r) }
+func (d *twice) Ended(_ *core.Request, v core.Verdict, _ core.Time) {
+	d.verdicts = append(d.verdicts, v)
+}
+func (d *twice) Answered(string) {}
+func (d *twice) Listed()         {}
 
 func (d *twice) Step(_ core.Time, events []decide.Event, out []decide.Action) []decide.Action {
 	for _, e := range events {
