--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -218,6 +218,13 @@
 	return c.groups[group].runs[key]
 }
 
+// Versions tells how often a row was written, in the last minute.
+func (c *Cluster) Versions(group int64, id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.groups[group].rows[id])
+}
+
 // Put writes a row behind the back of everyone, for tests that need some.
 func (c *Cluster) Put(group int64, id, value string) {
 	c.mu.Lock()
