--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -284,6 +284,17 @@
 	}
 	m.up, m.since = false, time.Now()
 	_ = m.l.Close()
+	m.cut()
+}
+
+// Cut breaks a member's connections; what they carried runs on, and nobody hears of it.
+func (m *Member) Cut() {
+	m.c.mu.Lock()
+	defer m.c.mu.Unlock()
+	m.cut()
+}
+
+func (m *Member) cut() {
 	for nc := range m.conns {
 		if t, ok := nc.(*net.TCPConn); ok {
 			_ = t.SetLinger(0)
