--- /dev/null
+++ b/internal/terms/terms_test.go
@@ -0,0 +1,83 @@
+package terms
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"reachwind/decide"
+)
+
+// TestBook: through random changes of the settings a name keeps its place, a class that left is served for Linger as
+// it was and then is unknown, and the module's customers are at the places that requests name.
+func TestBook(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	draw := func() *decide.Config {
+		c := new(decide.Config)
+		for i := range 5 {
+			if i == 0 || r.IntN(2) == 0 {
+				c.Classes = append(c.Classes, decide.Class{Name: fmt.Sprint("c", i), Effect: decide.Effect(r.IntN(3)), Deadline: time.Duration(1+r.IntN(3)) * time.Second})
+			}
+			if r.IntN(2) == 0 {
+				c.Tenants = append(c.Tenants, decide.Tenant{Name: fmt.Sprint("t", i), Share: 0.5})
+			}
+		}
+		return c
+	}
+	b, err := NewBook(draw())
+	if err != nil {
+		t.Fatal(err)
+	}
+	now, left, places := time.Duration(0), map[string]time.Duration{}, map[string]int{}
+	for range 2000 {
+		now += time.Duration(r.IntN(1000)) * time.Millisecond
+		conf, was := draw(), b.Now()
+		next, own, err := b.Next(conf, now)
+		if err != nil || b.Now() != was {
+			t.Fatal("refused, or turned too soon", err)
+		}
+		b.Turn(next)
+		in := map[string]decide.Class{}
+		for _, k := range conf.Classes {
+			in[k.Name] = k
+			delete(left, k.Name)
+		}
+		for name, k := range was.classes {
+			if _, ok := in[name]; !ok && k.until == 0 {
+				left[name] = now + Linger
+			}
+		}
+		for i := range 5 {
+			name := fmt.Sprint("c", i)
+			k, ok := next.Class(name, now)
+			want, held := in[name]
+			if ok != (held || now < left[name]) || held && *k.Class != want || ok && !held && *k.Class != *was.classes[name].Class {
+				t.Fatalf("%s at %v: %+v, %v; in %v, left until %v", name, now, k, ok, held, left[name])
+			}
+			if _, late := next.Class(name, now+Linger); late != held {
+				t.Fatalf("%s is served after it left", name)
+			}
+			if at, known := places[name]; ok && known && at != k.Place || ok && next.Names.Classes[k.Place] != name {
+				t.Fatalf("%s changed its place to %d", name, k.Place)
+			}
+			if ok {
+				places[name] = k.Place
+			}
+		}
+		for _, c := range conf.Tenants {
+			if at := next.Tenant(c.Name); at < 0 || own.Tenants[at] != c || next.Names.Customers[at] != c.Name {
+				t.Fatalf("customer %s is at %d", c.Name, at)
+			}
+		}
+	}
+	many := new(decide.Config)
+	for i := range NamesMost {
+		many.Classes = append(many.Classes, decide.Class{Name: fmt.Sprint("m", i)})
+	}
+	var names *NamesError
+	if _, _, err := b.Next(many, now); !errors.As(err, &names) {
+		t.Errorf("%d names more: %v", NamesMost, err)
+	}
+}
