--- a/internal/pgmember/pool.go
+++ b/internal/pgmember/pool.go
@@ -39,7 +39,8 @@
 type Pool struct {
 	core    *core.Core
 	log     *slog.Logger
-	conf    atomic.Pointer[Config] // connections read it on their own goroutines
+	conf    atomic.Pointer[Config] // connections read it on their own goroutines; its Max counts at the start only
+	most    int                    // connections
 	bufs    *pgwire.Pool
 	dial    Dialer
 	members map[string]*member
@@ -69,19 +70,16 @@
 
 // New returns a pool that reports to c.
 func New(c *core.Core, conf Config, bufs *pgwire.Pool, dial Dialer, log *slog.Logger) *Pool {
-	p := &Pool{core: c, log: log, bufs: bufs, dial: dial,
+	p := &Pool{core: c, log: log, bufs: bufs, dial: dial, most: conf.Max,
 		members: map[string]*member{}, jobs: map[*core.Attempt]*job{}}
 	p.conf.Store(&conf)
 	c.Post(p.sweep)
 	return p
 }
 
-// Retune takes another configuration from now on; its Max holds from the start. It is the owner's to call. Connections
+// Retune takes another configuration from now on, but for its Max, see Limit. It is the owner's to call. Connections
 // and jobs that are open keep the waits that they began with.
-func (p *Pool) Retune(conf Config) {
-	conf.Max = p.conf.Load().Max
-	p.conf.Store(&conf)
-}
+func (p *Pool) Retune(conf Config) { p.conf.Store(&conf) }
 
 // Sizes are the lengths of the pool's tables.
 type Sizes struct{ Members, Connections, Jobs int }
@@ -89,6 +87,14 @@
 // Sizes tells how long the tables are. It is the owner's to call.
 func (p *Pool) Sizes() Sizes { return Sizes{len(p.members), p.open, len(p.jobs)} }
 
+// Limit has the pool hold so many connections at most from now on; idle ones above that are closed. It is the owner's
+// to call.
+func (p *Pool) Limit(most int) {
+	p.most = most
+	for n := p.open - most; n > 0 && p.evict(); n-- {
+	}
+}
+
 // List takes addresses and who is wanted.
 func (p *Pool) List(kind decide.EventKind, list []core.Listed) {
 	named := map[string]bool{}
@@ -211,7 +217,7 @@
 // make opens connections for the jobs that wait, within the limit of descriptors.
 func (p *Pool) make(m *member) {
 	for m.making < len(m.waiting) {
-		if p.open >= p.conf.Load().Max && !p.evict() {
+		if p.open >= p.most && !p.evict() {
 			p.short.Warn(p.log, "out of member connections", "open", p.open, "member", m.id)
 			p.finish(m.waiting[len(m.waiting)-1], core.Outcome{Result: decide.NotSent})
 			continue
