--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -227,6 +227,13 @@
 	return c.groups[group].runs[key]
 }
 
+// Versions tells how often a row was written, in the last minute.
+func (c *Cluster) Versions(group int64, id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.groups[group].rows[id])
+}
+
 // Put writes a row behind the back of everyone, for tests that need some.
 func (c *Cluster) Put(group int64, id, value string) {
 	c.mu.Lock()
@@ -286,6 +293,17 @@
 	}
 	m.up, m.since = false, time.Now()
 	_ = m.l.Close()
+	m.cut()
+}
+
+// Cut breaks a member's connections; what they carried runs on, and nobody hears of it.
+func (m *Member) Cut() {
+	m.c.mu.Lock()
+	defer m.c.mu.Unlock()
+	m.cut()
+}
+
+func (m *Member) cut() {
 	for nc := range m.conns {
 		if t, ok := nc.(*net.TCPConn); ok {
 			_ = t.SetLinger(0)
