--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -67,11 +67,14 @@
 	for _, v := range []struct {
 		to   *string
 		name string
-	}{{&c.Name, "NODE_NAME"}, {&c.Listen, "NODE_LISTEN"}, {&c.Discovery, "NODE_DISCOVERY"}, {&c.Admin, "NODE_ADMIN_ADDR"}} {
+	}{{&c.Name, "NODE_NAME"}, {&c.Listen, "NODE_LISTEN"}, {&c.Discovery, "NODE_DISCOVERY"}} {
 		if *v.to == "" {
 			*v.to = env(v.name)
 		}
 	}
+	if admin := env("NODE_ADMIN_ADDR"); admin != "" { // each process has its own, also where the file is that of another
+		c.Admin = admin
+	}
 	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -31,12 +31,14 @@
 	owner *core.Core
 	log   *slog.Logger
 	door  *opsdoor.Door
+	line  *succession // nil: no other process takes this one's place
 
 	mu  sync.Mutex // held while the core is told, so that it is told in the order of the changes
 	set *suspend.Set
 
 	taken   atomic.Bool // the owner has taken a list with a member
 	leaving atomic.Bool
+	serving atomic.Bool
 }
 
 func newOperators(conf opsdoor.Config, owner *core.Core, log *slog.Logger) *operators {
@@ -64,6 +66,13 @@
 	}
 }
 
+// serve has the gateway be ready, once it accepts clients.
+func (o *operators) serve() {
+	if o != nil {
+		o.serving.Store(true)
+	}
+}
+
 // stop closes the door.
 func (o *operators) stop() {
 	if o != nil {
@@ -96,6 +105,8 @@
 	switch {
 	case o.leaving.Load():
 		return opsdoor.NotReady{Found: "this process is ending", Do: "call the one that replaces it"}
+	case !o.serving.Load():
+		return opsdoor.NotReady{Found: "this process does not accept clients yet", Do: "ask again in a second"}
 	case !o.taken.Load():
 		return opsdoor.NotReady{Found: "no list of db machines yet", Do: "look at discovery, or give the configuration a list"}
 	}
@@ -104,12 +115,12 @@
 
 // Suspend implements opsdoor.Operator.
 func (o *operators) Suspend(ctx context.Context, id string) error {
-	return o.say(ctx, id, "db machine suspended", (*suspend.Set).Suspend)
+	return o.share(ctx, o.say(ctx, id, "db machine suspended", (*suspend.Set).Suspend))
 }
 
 // Resume implements opsdoor.Operator.
 func (o *operators) Resume(ctx context.Context, id string) error {
-	return o.say(ctx, id, "db machine resumed", (*suspend.Set).Resume)
+	return o.share(ctx, o.say(ctx, id, "db machine resumed", (*suspend.Set).Resume))
 }
 
 // say has the owner do what an operator says of a member, and waits until it is in force. By the end of ctx what the
