--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,7 @@
 	refuseWait    = time.Second
 	idleMost      = 2 * time.Second
 	buffersLeast  = 16
+	passReserve   = 0.5  // of the buffers, for all but answers that pass through, which can do without
 	bufferReserve = 0.15 // of the buffers, for the members' answers, which hold them for moments only
 )
 
@@ -213,7 +214,7 @@
 		Idle:    span(f.Allowed.IdleCloseUs, idleUsual),
 		Connect: span(f.Allowed.ConnectTimeoutUs, connectUsual),
 		Grace:   span(f.Rules.StopSendingWithinUs, graceUsual), DrainOnly: f.Rules.DrainBindsAlone,
-		Names: f.Feedback.Names}, bufs, dial, log)
+		Keep: int(passReserve * float64(share.Buffers)), Names: f.Feedback.Names}, bufs, dial, log)
 	list := discovery.Sink(owner.List)
 	var over *overlay
 	if edge.Fleet != nil && len(edge.Fleet.Council) > 0 {
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"time"
 
@@ -371,14 +372,22 @@
 	end time.Time
 }
 
-// Write writes all of b, or fails: the client must take it within the time for an answer, and the whole by end.
-func (l *lent) Write(b []byte) (int, error) {
-	until := time.Now().Add(l.c.s.conf.WriteWait)
-	if until.After(l.end) {
-		until = l.end
+// Write writes all of b, or fails: the client must take some of it within the time for an answer, and the whole by end.
+func (l *lent) Write(b []byte) (done int, err error) {
+	for done < len(b) && err == nil {
+		until := time.Now().Add(l.c.s.conf.WriteWait)
+		if until.After(l.end) {
+			until = l.end
+		}
+		_ = l.c.SetWriteDeadline(until)
+		var n int
+		n, err = l.c.Conn.Conn.Write(b[done:])
+		done += n
+		if n > 0 && errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(l.end) {
+			err = nil
+		}
 	}
-	_ = l.c.SetWriteDeadline(until)
-	return l.c.Conn.Conn.Write(b)
+	return done, err
 }
 
 // text reads the n bytes of a query into a buffer; there may be none left for it.
--- a/internal/pgmember/conn.go
+++ b/internal/pgmember/conn.go
@@ -28,6 +28,7 @@
 
 const (
 	readSize    = 4 << 10
+	chunkSize   = 32 << 10
 	answerParts = 64                     // messages in one answer
 	stallWait   = 100 * time.Millisecond // a member that pauses for so long within an answer won't end it
 	passWait    = 5 * time.Second        // the same for one that passes through, which cannot be tried elsewhere
@@ -463,26 +464,36 @@
 	a.done, a.row = done, head[:0]
 	a.buf.B = append(a.buf.B, head...)
 	_, _ = c.R.Discard(len(head))
-	_, err = w.Write(a.buf.B)
-	a.buf.Release()
-	a.buf = nil
-	for a.last = time.Now(); err == nil && left > 0; a.last = time.Now() {
+	if _, err := w.Write(a.buf.B); err != nil {
+		return errClient
+	}
+	// Large chunks take a quarter of the work of small ones, and are had while there are buffers enough.
+	if large := c.p.bufs.Get(chunkSize, c.p.conf.Keep); large != nil {
+		a.buf.Release()
+		a.buf = large
+	}
+	chunk := a.buf.B[:min(cap(a.buf.B), chunkSize)]
+	a.last = time.Now()
+	for left > 0 {
 		c.watch(a, 1)
-		if _, err := c.Peek(1, woken); err != nil {
-			return err
+		n, err := c.R.Read(chunk[:min(left, len(chunk))])
+		if n > 0 {
+			left -= n
+			a.passed += n
+			if _, err := w.Write(chunk[:n]); err != nil {
+				return errClient
+			}
+			a.last = time.Now()
+		}
+		if errors.Is(err, wake.ErrWoken) {
+			err = woken()
 		}
-		var chunk []byte
-		if chunk, err = c.R.Peek(min(left, c.R.Buffered())); err != nil {
+		if err != nil {
 			return err
 		}
-		left -= len(chunk)
-		a.passed += len(chunk)
-		_, err = w.Write(chunk)
-		_, _ = c.R.Discard(len(chunk))
-	}
-	if err != nil {
-		return errClient
 	}
+	a.buf.Release()
+	a.buf = nil
 	return nil
 }
 
--- a/internal/pgmember/pool.go
+++ b/internal/pgmember/pool.go
@@ -23,6 +23,7 @@
 	Connect        time.Duration // a connection not up by then has failed
 	Grace          time.Duration // sends to a draining member must end within it
 	DrainOnly      bool          // a member that leaves the list without draining may still be used
+	Keep           int           // buffers left to others when answers that pass through take the rest
 	Names          []string      // what a load report holds, as the settings name it
 }
 
