--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,9 +65,11 @@
 	Edge    string // of the product configuration; empty: none, and no part of it runs
 	Version string
 	Log     *slog.Logger
-	Records *record.Handler  // that Log goes through; takes the sink of records
-	Dial    pgmember.Dialer  // to members and discovery; nil: TCP
-	Wall    func() time.Time // nil: the system's; another one only in laboratories, where clocks are set apart
+	Records *record.Handler // that Log goes through; takes the sink of records
+	Dial    pgmember.Dialer // to members and discovery; nil: TCP
+	// Handover is the folder where processes of this gateway that replace each other share what binds them; empty: none does.
+	Handover string
+	Wall     func() time.Time // nil: the system's; another one only in laboratories, where clocks are set apart
 }
 
 // Serve runs the gateway until SIGTERM or SIGINT, then winds it down. SIGHUP has
@@ -82,10 +84,14 @@
 		debug.SetMemoryLimit(int64(softPart * float64(c.memory)))
 		debug.SetGCPercent(garbagePart)
 	}
-	listener, err := net.Listen("tcp", c.Listen)
+	fd := os.Getenv("NODE_SOCKET_FD")
+	listener, err := listen(c.Listen, fd)
 	if err != nil {
 		return err
 	}
+	if fd != "" {
+		o.Handover = os.TempDir()
+	}
 	defer func() { _ = listener.Close() }()
 	return Run(term, hup, c, listener, o)
 }
@@ -112,8 +118,10 @@
 	front  *pgfront.Server
 	claims *call.Claims
 	parts  []part
-	over   *overlay // nil: nobody agrees on drains
+	over   *overlay   // nil: nobody agrees on drains
+	ops    *operators // nil: operators have no door
 	fleet  *fleet.Fleet
+	line   *succession          // nil: no other process takes this one's place
 	most   int                  // client connections
 	door   atomic.Pointer[door] // nil: not serving yet
 }
@@ -216,14 +224,37 @@
 		Grace:   span(f.Rules.StopSendingWithinUs, graceUsual), DrainOnly: f.Rules.DrainBindsAlone,
 		Keep: int(passReserve * float64(share.Buffers)), Names: f.Feedback.Names}, bufs, dial, log)
 	list := discovery.Sink(owner.List)
+	line := succeed(o.Handover, c, owner.Now, log)
+	line.inherit(c)
+	var ops *operators
+	if c.Admin != "" {
+		ops = newOperators(c.door(), owner, log)
+		ops.line = line
+		list = ops.List
+		if line != nil {
+			line.changed = ops.inherit
+			ops.inherit(0)
+		}
+	}
 	var over *overlay
 	if edge.Fleet != nil && len(edge.Fleet.Council) > 0 {
-		over = newOverlay(c.Name, owner.List)
+		over = newOverlay(c.Name, list)
 		list = over.List
 	}
+	if line != nil {
+		owner.Share(line)
+		next := list
+		list = func(kind decide.EventKind, members []core.Listed) {
+			line.List(kind, members)
+			next(kind, members)
+		}
+	}
 	dir := discovery.New(c.Discovery, c.version, c.Decide.Fronts, list, dial, log)
+	if line != nil {
+		line.version = dir.Version
+	}
 	owner.Connect(pool, dir)
-	g := &running{o: o, c: c, router: router, owner: owner, pool: pool, bufs: bufs, dir: dir, claims: call.NewClaims(), over: over, most: share.Clients}
+	g := &running{o: o, c: c, router: router, owner: owner, pool: pool, bufs: bufs, dir: dir, claims: call.NewClaims(), over: over, line: line, ops: ops, most: share.Clients}
 	if edge.Syslog != nil {
 		p, err := startSyslog(edge.Syslog, owner, c.Decide.ColdTime, o)
 		if err != nil {
@@ -252,7 +283,11 @@
 		Max: share.Clients, Spare: int(sparePart * float64(share.Sockets)),
 		ComeBack:  c.Decide.MaxRetryAfter,
 		Keep:      int(bufferReserve * float64(share.Buffers)),
-		StartWait: startWait, WriteWait: writeWait, RefuseWait: refuseWait, IdleMost: idleMost, IdleKeep: int(idlePart * float64(share.Sockets)), Claims: g.claims}, bufs, log)
+		StartWait: startWait, WriteWait: writeWait, RefuseWait: refuseWait, IdleMost: idleMost, IdleKeep: int(idlePart * float64(share.Sockets)), Pass: line.passes(), Claims: g.claims}, bufs, log)
+	if line != nil {
+		line.apply = g.limit(bufs, share)
+		go line.run(share.Sockets)
+	}
 	return g, nil
 }
 
@@ -266,6 +301,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	if err := g.ops.start(); err != nil {
+		return err
+	}
+	defer g.ops.stop()
 	go g.owner.Run(ctx)
 	go g.dir.Run(ctx)
 	go func() {
@@ -279,7 +318,10 @@
 		}
 	}()
 	failed := make(chan error, 1)
+	g.line.warm(term.Done())
 	go func() { failed <- g.front.Serve(listener) }()
+	g.line.ready(g.front.Adopt)
+	g.ops.serve()
 	log.Info("serving", "name", c.Name, "listen", listener.Addr().String(), "members", len(c.Known), "version", g.o.Version)
 
 	select {
@@ -287,7 +329,11 @@
 		return fmt.Errorf("accept: %w", err)
 	case <-term.Done():
 	}
+	g.ops.leave()
 	accept := acceptAfter
+	if g.line.succeeded() { // who comes from now on waits for the other on the socket that both hold
+		accept = 0
+	}
 	if g.fleet != nil { // asks for a permit, and waits for it no longer than configured
 		accept = max(0, accept-g.fleet.Leave(context.Background()))
 	}
@@ -299,6 +345,7 @@
 	err := windDown(c, g.front, listener, accept, log)
 	<-drained
 	g.stop()
+	g.line.stop()
 	return err
 }
 
--- a/internal/pgwire/buf.go
+++ b/internal/pgwire/buf.go
@@ -21,18 +21,36 @@
 type Pool struct {
 	mu         sync.Mutex
 	full, tiny shelf
+	most       int // full ones
 }
 
 // shelf holds buffers of one size.
 type shelf struct {
 	size int
 	free []*Buf
-	left int // not made yet
+	left int // that may still be made; below 0 more are in use than Limit allows
+}
+
+// Limit has the pool hold so many full buffers at most from now on. Those in use above that are dropped as they come back.
+func (p *Pool) Limit(full int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.full.left += full - p.most
+	p.most = full
+	p.full.trim()
+}
+
+func (s *shelf) trim() {
+	for s.left < 0 && len(s.free) > 0 {
+		s.free[len(s.free)-1] = nil
+		s.free = s.free[:len(s.free)-1]
+		s.left++
+	}
 }
 
 // NewPool returns a pool of at most full buffers of BufSize and small ones of SmallSize, which are made as needed.
 func NewPool(full, small int) *Pool {
-	return &Pool{full: shelf{size: BufSize, left: full}, tiny: shelf{size: SmallSize, left: small}}
+	return &Pool{most: full, full: shelf{size: BufSize, left: full}, tiny: shelf{size: SmallSize, left: small}}
 }
 
 // Get returns a buffer that holds n bytes, a small one if that will do and there is one; nil when it would leave keep
@@ -59,7 +77,7 @@
 		s.free = s.free[:n-1]
 		return b
 	}
-	if s.left == 0 {
+	if s.left <= 0 {
 		return nil
 	}
 	s.left--
@@ -75,6 +93,7 @@
 		s = &p.tiny
 	}
 	s.free = append(s.free, b)
+	s.trim()
 }
 
 // Free returns how many full buffers may still be had.
