--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,7 @@
 	refuseWait    = time.Second
 	idleMost      = 2 * time.Second
 	buffersLeast  = 16
+	passReserve   = 0.5  // of the buffers, for all but answers that pass through, which can do without
 	bufferReserve = 0.15 // of the buffers, for the members' answers, which hold them for moments only
 )
 
@@ -216,7 +217,7 @@
 	share := c.Budget(edge)
 	bufs := pgwire.NewPool(share.Buffers, share.Small)
 	owner := core.New(core.NewClock(), router, log)
-	pool := pgmember.New(owner, members(c.facts, share.Members), bufs, dial, log)
+	pool := pgmember.New(owner, members(c.facts, share.Members, int(passReserve*float64(share.Buffers))), bufs, dial, log)
 	list := discovery.Sink(owner.List)
 	line := succeed(o.Handover, c, owner.Now, log)
 	line.inherit(c)
--- a/internal/gateway/retune.go
+++ b/internal/gateway/retune.go
@@ -67,7 +67,7 @@
 			g.o.Log.Error("retuning refused", "err", err)
 			return
 		}
-		g.pool.Retune(members(r.conf.facts, 0))
+		g.pool.Retune(members(r.conf.facts, 0, 0))
 	})
 	g.c.terms.Turn(r.terms)
 	came, changed, left := r.terms.Against(was)
@@ -76,8 +76,8 @@
 }
 
 // members is what the settings say of connections to members, of which there may be most.
-func members(f *settings.Facts, most int) pgmember.Config {
-	return pgmember.Config{User: user, Database: database, Max: most,
+func members(f *settings.Facts, most, keep int) pgmember.Config {
+	return pgmember.Config{User: user, Database: database, Max: most, Keep: keep,
 		Idle:    span(f.Allowed.IdleCloseUs, idleUsual),
 		Connect: span(f.Allowed.ConnectTimeoutUs, connectUsual),
 		Grace:   span(f.Rules.StopSendingWithinUs, graceUsual), DrainOnly: f.Rules.DrainBindsAlone,
--- a/internal/pgmember/pool.go
+++ b/internal/pgmember/pool.go
@@ -24,6 +24,7 @@
 	Connect        time.Duration // a connection not up by then has failed
 	Grace          time.Duration // sends to a draining member must end within it
 	DrainOnly      bool          // a member that leaves the list without draining may still be used
+	Keep           int           // buffers left to others when answers that pass through take the rest
 	Names          []string      // what a load report holds, as the settings name it
 }
 
@@ -39,8 +40,9 @@
 type Pool struct {
 	core    *core.Core
 	log     *slog.Logger
-	conf    atomic.Pointer[Config] // connections read it on their own goroutines; its Max counts at the start only
+	conf    atomic.Pointer[Config] // connections read it on their own goroutines; its Max and Keep count at the start only
 	most    int                    // connections
+	keep    int                    // see Config.Keep
 	bufs    *pgwire.Pool
 	dial    Dialer
 	members map[string]*member
@@ -70,14 +72,14 @@
 
 // New returns a pool that reports to c.
 func New(c *core.Core, conf Config, bufs *pgwire.Pool, dial Dialer, log *slog.Logger) *Pool {
-	p := &Pool{core: c, log: log, bufs: bufs, dial: dial, most: conf.Max,
+	p := &Pool{core: c, log: log, bufs: bufs, dial: dial, most: conf.Max, keep: conf.Keep,
 		members: map[string]*member{}, jobs: map[*core.Attempt]*job{}}
 	p.conf.Store(&conf)
 	c.Post(p.sweep)
 	return p
 }
 
-// Retune takes another configuration from now on, but for its Max, see Limit. It is the owner's to call. Connections
+// Retune takes another configuration from now on, but for its Max, see Limit, and Keep. It is the owner's to call. Connections
 // and jobs that are open keep the waits that they began with.
 func (p *Pool) Retune(conf Config) { p.conf.Store(&conf) }
 
