Words and numbers below 0 in new settings are faults that name their key

They were told by the class alone. Effect, KeyScope, Consistency, ServerChecks, worths, shares and rates now say what was found and wanted, as all other faults of a retuning do.

--- a/internal/settings/shape.go
+++ b/internal/settings/shape.go
@@ -213,7 +213,11 @@
 			w.fault(&Fault{Twice, key + ".Name", strconv.Quote(name) + " a second time", "a name of its own"})
 		}
 		names[name] = true
-		w.text(k, key+".Effect")
+		word(&w, w.get(k, key+".Effect"), key+".Effect", effects)
+		if k["Effect"] == "by_key" {
+			word(&w, k["KeyScope"], key+".KeyScope", scopes)
+		}
+		w.least0(k, key, "Value", "LateValue")
 		w.number(k, key+".AimUs", 1, dayUs)
 		w.number(k, key+".DeadlineUs", 1, dayUs)
 		w.spans(k, key)
@@ -222,12 +226,26 @@
 		key := "settings.FamilyInfo." + name
 		if l := w.list(info, key); len(l) != len(grades) {
 			w.fault(&Fault{BadValue, key, fmt.Sprintf("%d entries", len(l)), fmt.Sprintf("one for each of %d Grades", len(grades))})
-		} else if name == "ClassBoundUs" {
+		} else {
 			for i, v := range l {
-				w.within(v, fmt.Sprintf("%s[%d]", key, i), 0, dayUs)
+				if at := fmt.Sprintf("%s[%d]", key, i); name == "ClassBoundUs" {
+					w.within(v, at, 0, dayUs)
+				} else {
+					word(&w, v, at, needs)
+				}
 			}
 		}
 	}
+	if v, ok := info["ServerChecks"]; ok {
+		word(&w, v, "settings.FamilyInfo.ServerChecks", checks)
+	}
+	w.spans(conf, "settings")
+	w.least0(conf, "settings", "OverShareWorth")
+	w.least0(conf["Rules"], "settings.Rules", "ColdShare", "FallMultiple")
+	tenants, _ := conf["Tenants"].([]any)
+	for i, one := range tenants {
+		w.least0(one, fmt.Sprintf("settings.Tenants[%d]", i), "Fraction", "QuotaRps")
+	}
 	return w.err
 }
 
@@ -286,6 +304,25 @@
 	}
 }
 
+// least0 checks that what an object holds of some keys is no number below 0.
+func (w *walker) least0(in any, key string, names ...string) {
+	o, _ := in.(map[string]any)
+	for _, name := range names {
+		n, _ := o[name].(json.Number)
+		if f, err := n.Float64(); o[name] != nil && (err != nil || f < 0) {
+			w.fault(&Fault{BadValue, join(key, name), show(o[name]), "a number that is not below 0"})
+		}
+	}
+}
+
+// word checks that a value is one of the words that the settings know.
+func word[V any](w *walker, v any, key string, known map[string]V) {
+	name, ok := v.(string)
+	if _, is := known[name]; !ok || !is {
+		w.fault(&Fault{BadValue, key, show(v), "one of " + strings.Join(sorted(known), ", ")})
+	}
+}
+
 func show(v any) string {
 	b, err := json.Marshal(v)
 	if err != nil || len(b) > 40 {
--- a/internal/settings/shape_test.go
+++ b/internal/settings/shape_test.go
@@ -56,6 +56,8 @@
 		{NotJSON, "", swap(`900000`, `NaN`)}, {BadValue, "settings.Grades[1].AimUs", swap(`900000`, `[]`)}, {BadValue, "settings.Grades", swap(`"Grades":[`, `"Grades":[],"Old":[`)},
 		{BadValue, "settings.FamilyInfo.Consistency", swap(`"write"]`, `"write","any"]`)}, {BadValue, "settings.FamilyInfo.ClassBoundUs", swap(`[3000000,0]`, `[0]`)},
 		{Twice, "settings.Grades[1].Name", swap(`"edits"`, `"tiles"`)}, {Twice, "settings.Grades", swap(`"Me":1`, `"Me":1,"grades":[]`)},
+		{BadValue, "settings.Grades[0].Effect", swap(`"repeatable"`, `"maybe"`)}, {BadValue, "settings.Grades[1].KeyScope", swap(`"cell"`, `"row"`)},
+		{BadValue, "settings.FamilyInfo.Consistency[0]", swap(`"bounded"`, `"old"`)}, {BadValue, "settings.Tenants[0].Fraction", swap(`"Fraction":1`, `"Fraction":-1`)},
 		{BadValue, "settings.Rules.ColdUs", swap(`18000000`, `-5`)}, {BadValue, "limits", swap(`{"cores":1,"sockets":64}`, `7`)}, {BadValue, "settings.Instances", swap(`"Instances":3`, `"Instances":0`)},
 	} {
 		err := s.Check([]byte(c.text))
