--- a/internal/gateway/edge_test.go
+++ b/internal/gateway/edge_test.go
@@ -213,7 +213,7 @@
 	}
 	s := k.Book.Summary()
 	for range 500 {
-		if s = k.Book.Summary(); s.Kinds["request"] == all {
+		if s = k.Book.Summary(); s.Kinds["request"] == all && s.Kinds["member"] >= 3 && s.Kinds["log"] >= 3 {
 			break
 		}
 		time.Sleep(10 * time.Millisecond)
