A slow primary works on more than one request; errors are forgotten at a restart

By a log of the module's records each second: the primary was four to five times slower than usual, so each gateway's limit stood at its least, twice the cheapest class; a write costs more than that, and was let in only when nothing at all was out, which small reads saw to. Ruled out: the ban (it was of a replica), cold members, suspicion, and capacity (five cores, two requests).

Change: room lets a request in while what is held there is under its part of four requests like itself, over all gateways; with 300 that is only when nothing is out, as before. A member that started anew has no errors against it, and one that drains is not probed.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -38,6 +38,7 @@
 	longTimes  = 4.0  // a read costing so many times the cheapest class is long
 	strainAim  = 0.45 // answers taking this part of their aim: queues are as long as is useful
 	cutBy      = 0.85 // a limit falls so much for each round trip above strainAim
+	fewAtOnce  = 4.0  // any member works on so many side by side, from all fronts together
 	limitLeast = 2.0  // a limit stays above so many small requests: answers tell of recovery
 
 	shedAim, shedSteep = 0.38, 3.0 // above this part of their aim reads stay away by chance, 7 in 8 at twice it
@@ -251,6 +252,7 @@
 		r.members[l.ID] = m
 	} else if l.Started > m.Started { // it started anew: cold, no primary, and as yet unproven
 		m.stretch, m.strain, m.limit, m.suspect, m.trialGap = 1, 0, limitLeast*r.leastCost(), false, trialFirst
+		m.errors = 0
 		if m.role == Primary && m.roleAt < l.Started {
 			m.role, m.roleAt = Replica, l.Started
 		}
@@ -637,7 +639,8 @@
 	if m.limit == 0 {
 		return part == 1 || m.strain < strainAim*part
 	}
-	return m.held()+q.class.cost <= m.limit*part || part == 1 && len(m.open)+len(m.ghosts) == 0
+	few := fewAtOnce / float64(r.cfg.Fronts) * q.class.cost // else small requests would keep large ones out
+	return m.held()+q.class.cost <= m.limit*part || part == 1 && m.held() <= few
 }
 
 func (r *Router) send(q *request, m *member) {
@@ -1009,7 +1012,7 @@
 
 // probe asks m for its report, unless all fronts together might ask too often.
 func (r *Router) probe(m *member) bool {
-	if m.gone || !r.spend(ProbePart, r.now-m.probedAt >= r.each(probeEach, ProbePart)) {
+	if m.gone || m.State == Draining || !r.spend(ProbePart, r.now-m.probedAt >= r.each(probeEach, ProbePart)) {
 		return false
 	}
 	m.probedAt, m.probing = r.now, true
