A successor that finds a torn configuration goes on with what the former process was told

Need: the old process is the only one that may exit; an operator may be writing the file in the moment of an upgrade. Before, the new one ended with 1. Not taken: to wait for the file, as 6 s pass quickly.

--- a/cmd/reachwind/main.go
+++ b/cmd/reachwind/main.go
@@ -66,13 +66,13 @@
 	}
 	serve := &cobra.Command{Use: "serve", Short: "run the gateway until SIGTERM or SIGINT", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			conf, err := gateway.Load(path)
-			if err != nil {
-				return err
-			}
 			logs := newLogWriter(c.ErrOrStderr())
 			defer logs.flush()
 			records := record.NewHandler(slog.NewTextHandler(logs, &slog.HandlerOptions{Level: least}))
+			conf, err := gateway.LoadServing(path, slog.New(records))
+			if err != nil {
+				return err
+			}
 			return gateway.Serve(conf, gateway.Options{Path: path, Edge: edge, Version: cmp.Or(says, version), Log: slog.New(records), Records: records,
 				Wall: func() time.Time { return time.Now().Add(offset) }})
 		}}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"strconv"
@@ -12,6 +13,7 @@
 	"reachwind/decide"
 	"reachwind/internal/core"
 	"reachwind/internal/discovery"
+	"reachwind/internal/handover"
 	"reachwind/internal/settings"
 	"reachwind/internal/terms"
 )
@@ -28,6 +30,7 @@
 	sockets int
 	version int64
 	facts   *settings.Facts
+	text    []byte          // that it was read from, until it is kept for the next process
 	terms   *terms.Book     // in force, once it runs
 	shape   *settings.Shape // what a file read at SIGHUP must hold again
 }
@@ -47,6 +50,27 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	c.text = text
+	return c, nil
+}
+
+// LoadServing is Load for a process that is to serve. One that replaces another, and finds a file that can't be used,
+// goes on with what the former process was told last: operators may be in the middle of mending it.
+func LoadServing(path string, log *slog.Logger) (*Config, error) {
+	c, err := Load(path)
+	if err == nil || os.Getenv("NODE_SOCKET_FD") == "" {
+		return c, err
+	}
+	text, e := handover.Load(os.TempDir(), configFile)
+	if e != nil {
+		return nil, err
+	}
+	c, e = Parse(text, os.Getenv)
+	if e != nil {
+		return nil, err
+	}
+	log.Error("configuration not used, what the former process was told holds", "err", err)
+	c.text = text
 	return c, nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -221,6 +221,8 @@
 	list := discovery.Sink(owner.List)
 	line := succeed(o.Handover, c, owner.Now, log)
 	line.inherit(c)
+	line.keep(c.text)
+	c.text = nil
 	var ops *operators
 	if c.Admin != "" {
 		ops = newOperators(c.door(), owner, log)
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -37,6 +37,8 @@
 	listFile    = "reachwind.list"
 	machineFile = "reachwind.machines" // what operators said of db machines
 
+	configFile = "reachwind.config" // the configuration as last taken
+
 	takeWait  = 250 * time.Millisecond // for another process to take over what operators said
 	takeLeast = 50 * time.Millisecond
 	readEach  = 5 // looks between two readings of that where changes can't be counted
@@ -150,6 +152,16 @@
 	}
 }
 
+// keep keeps the text of a configuration that was taken for the next process, should it find a file that can't be used.
+func (s *succession) keep(text []byte) {
+	if s == nil || len(text) == 0 {
+		return
+	}
+	if err := s.board.Save(configFile, text); err != nil {
+		s.log.Warn("handover: the configuration is not kept for the next process", "err", err)
+	}
+}
+
 // List notes what discovery says, for a process that follows.
 func (s *succession) List(kind decide.EventKind, members []core.Listed) {
 	if s == nil || kind == decide.ListError {
--- a/internal/gateway/retune.go
+++ b/internal/gateway/retune.go
@@ -17,6 +17,7 @@
 type retuning struct {
 	conf  *Config // its Decide is as the module must have it
 	terms *terms.Terms
+	text  []byte
 }
 
 // reread reads the file that SIGHUP means, strictly: it must hold all that the file of the start held. It changes nothing.
@@ -37,7 +38,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", g.o.Path, err)
 	}
-	r := &retuning{conf: c}
+	r := &retuning{conf: c, text: text}
 	r.terms, c.Decide, err = g.c.terms.Next(c.Decide, g.owner.Now())
 	return r, err
 }
@@ -61,6 +62,7 @@
 // retune takes a configuration over. The owner's queue keeps the order: the module has it before any request of the
 // new terms comes.
 func (g *running) retune(r *retuning) {
+	g.line.keep(r.text)
 	was := g.c.terms.Now()
 	g.owner.Post(func() {
 		if err := g.router.Retune(*r.conf.Decide); err != nil { // reread has checked it
--- a/internal/handover/file.go
+++ b/internal/handover/file.go
@@ -47,8 +47,11 @@
 }
 
 // Load reads a state file whole, or tells why it can't be used.
-func (b *Board) Load(name string) ([]byte, error) {
-	f, err := os.Open(filepath.Join(b.dir, name))
+func (b *Board) Load(name string) ([]byte, error) { return Load(b.dir, name) }
+
+// Load is Board.Load for a process that has not taken its place yet.
+func Load(dir, name string) ([]byte, error) {
+	f, err := os.Open(filepath.Join(dir, name))
 	if errors.Is(err, os.ErrNotExist) {
 		return nil, &StateError{name, ErrMissing, "nothing, where no process has run here before"}
 	}
--- a/internal/lab/upgrade/upgrade.go
+++ b/internal/lab/upgrade/upgrade.go
@@ -26,6 +26,7 @@
 	Binary  string
 	Dir     string // TMPDIR of all processes, and their configuration
 	Addr    string // of clients
+	Torn    bool   // the configuration of the next process ends halfway
 
 	socket *os.File
 	l      *net.TCPListener
@@ -60,6 +61,9 @@
 func (p *Platform) start(ready string) (*proc.Gateway, error) {
 	p.n++
 	conf := p.Cluster.GatewayConfig("n1", p.Addr, 64, 384)
+	if p.Torn {
+		conf = conf[:len(conf)/2]
+	}
 	path := filepath.Join(p.Dir, fmt.Sprintf("config-%d.json", p.n))
 	if err := os.WriteFile(path, conf, 0o600); err != nil {
 		return nil, err
--- a/internal/lab/upgrade/upgrade_test.go
+++ b/internal/lab/upgrade/upgrade_test.go
@@ -54,7 +54,7 @@
 	}
 	defer func() { serving.Kill() }()
 
-	for round, fault := range append([]int{0}, rng.Perm(6)...) {
+	for round, fault := range append([]int{0}, rng.Perm(7)...) {
 		stop := make(chan struct{})
 		result := make(chan *Faults)
 		go func() { result <- p.Clients(12, seed+uint64(round), stop) }()
@@ -81,6 +81,8 @@
 			tear(t, rng, filepath.Join(p.Dir, "reachwind.list"))
 		case 4:
 			tear(t, rng, filepath.Join(p.Dir, "reachwind.board"))
+		case 6: // operators are in the middle of writing the configuration
+			p.Torn = true
 		case 5: // the old one, in the middle of its work
 			killed = true
 		}
@@ -88,6 +90,7 @@
 		if err != nil {
 			t.Fatalf("round %d, fault %d: %v; the former: %s", round, fault, err, serving.Log())
 		}
+		p.Torn = false
 		time.Sleep(300 * time.Millisecond)
 		if killed {
 			serving.Kill()
--- a/internal/suspend/suspend.go
+++ b/internal/suspend/suspend.go
@@ -252,11 +252,6 @@
 	return ids
 }
 
-// Members is the list as discovery has it, by id.
-func (s *Set) Members() []core.Listed {
-	return slices.SortedFunc(maps.Values(s.listed), func(a, b core.Listed) int { return cmp.Compare(a.ID, b.ID) })
-}
-
 // Listed tells how many members discovery lists.
 func (s *Set) Listed() int { return len(s.listed) }
 
--- a/internal/suspend/suspend_test.go
+++ b/internal/suspend/suspend_test.go
@@ -66,8 +66,8 @@
 					continue
 				}
 				want := p.told[id]
-				if len(p.set.Members()) != len(p.told) {
-					t.Fatalf("seed %d at %d: listed %v, want %v", seed, now, p.set.Members(), p.told)
+				if p.set.Listed() != len(p.told) {
+					t.Fatalf("seed %d at %d: %d listed, want %v", seed, now, p.set.Listed(), p.told)
 				}
 				if want.ID == id && want.State == decide.Up && want.Started < e.Since {
 					want.Started = e.At
