--- a/internal/fleet/subset/plan.go
+++ b/internal/fleet/subset/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"math"
 	"slices"
 )
@@ -36,27 +37,36 @@
 	}
 	byMember := make([][]scored, ms) // the least scores of each
 	for m := range byMember {
-		byMember[m] = make([]scored, 0, asks+1)
+		byMember[m] = make([]scored, 0, asks+2)
 	}
-	mine := make([]scored, 0, picks+1)
+	mine := make([]scored, 0, picks+2)
 	for g, gw := range p.gateways {
 		mine = mine[:0]
 		own := hash(seed, gw.Name)
 		for m := range names {
-			mine = least(mine, picks, scored{m, score(mix(own^names[m]), p.willing(g, m))})
-			byMember[m] = least(byMember[m], asks, scored{g, score(mix(own+names[m]), gw.Carries)})
+			mine = least(mine, picks+1, scored{m, score(mix(own^names[m]), p.willing(g, m))})
+			byMember[m] = least(byMember[m], asks+1, scored{g, score(mix(own+names[m]), gw.Carries)})
 		}
-		for _, s := range mine {
-			p.pairs = append(p.pairs, pair{g: g, m: s.at})
+		for k, w := range taper(mine, picks) {
+			p.pairs = append(p.pairs, pair{g, mine[k].at, w})
 		}
 	}
 	for m, all := range byMember {
-		for _, s := range all {
-			p.pairs = append(p.pairs, pair{g: s.at, m: m})
+		for k, w := range taper(all, asks) {
+			p.pairs = append(p.pairs, pair{all[k].at, m, w})
 		}
 	}
 	slices.SortFunc(p.pairs, func(a, b pair) int { return cmp.Or(cmp.Compare(a.g, b.g), cmp.Compare(a.m, b.m)) })
-	p.pairs = slices.Compact(p.pairs)
+	n := 0
+	for _, e := range p.pairs {
+		if n > 0 && p.pairs[n-1].g == e.g && p.pairs[n-1].m == e.m {
+			p.pairs[n-1].weight += e.weight
+		} else {
+			p.pairs[n] = e
+			n++
+		}
+	}
+	p.pairs = p.pairs[:n]
 	p.first = make([]int, gs+1)
 	for _, e := range p.pairs {
 		p.first[e.g+1]++
@@ -66,6 +76,22 @@
 	}
 }
 
+// taper gives the first n of a list in order their weights: the less the nearer one is to being
+// left for the next, so that one which comes or goes at the end does so with next to nothing.
+func taper(list []scored, n int) iter.Seq2[int, float64] {
+	return func(yield func(int, float64) bool) {
+		for k := range min(n, len(list)) {
+			w := 1.0
+			if len(list) > n {
+				w = max(1-list[k].score/list[n].score, 1e-6)
+			}
+			if !yield(k, w) {
+				return
+			}
+		}
+	}
+}
+
 // least puts s among the n least of a list in order.
 func least(list []scored, n int, s scored) []scored {
 	if len(list) == n && list[n-1].compare(s) < 0 {
@@ -79,11 +105,11 @@
 	return list[:min(len(list), n)]
 }
 
-// scale gives the pairs their weights: of all ways to have each gateway's sum 1 and each
-// member's load its capacity's part, the one nearest to what gateways would like best. Rows and
-// columns are scaled in turn until they fit. There is one such way, so the path to a view
-// leaves no trace; it moves little where the view changes little. Where the pairs allow
-// none, gateways' sums hold and members' loads are as near as the rounds brought them.
+// scale gives the pairs their weights: each gateway's sum is 1, each member's load is near its
+// capacity's part, and within that they are as near as can be to what the picks have. Rows and
+// columns are scaled in turn until nothing changes, columns a little less than would fit: that
+// has one outcome, whatever the start, and it changes little where the view does. Where the
+// pairs allow no even load, gateways' sums hold and members are as near as the rounds brought them.
 func (p *Plan) scale() {
 	if len(p.pairs) == 0 {
 		return
@@ -98,7 +124,7 @@
 	}
 	kernel := make([]float64, len(p.pairs))
 	for i, e := range p.pairs {
-		kernel[i] = p.willing(e.g, e.m)
+		kernel[i] = p.willing(e.g, e.m) * e.weight
 	}
 	row, column, load := make([]float64, gs), make([]float64, ms), make([]float64, ms)
 	for m := range column {
@@ -117,16 +143,18 @@
 			}
 		}
 		p.Off = 0
+		change := 0.0
 		for m := range load {
-			p.Off = max(p.Off, math.Abs(load[m]/(p.members[m].Capacity/capacity)-1))
+			part := p.members[m].Capacity / capacity
+			p.Off = max(p.Off, load[m]/part-1)
+			next := min(max(math.Pow(column[m]*part/load[m], firm), 1e-60), 1e60)
+			change = max(change, math.Abs(next/column[m]-1))
+			load[m] = next
 		}
-		if p.Off <= tolerance || p.Rounds == rounds {
+		if change <= still || p.Rounds == rounds {
 			break
 		}
-		for m := range column {
-			// Where no weights fit, scales would grow and shrink for ever: they are kept within what floats hold.
-			column[m] = min(max(column[m]*(p.members[m].Capacity/capacity)/load[m], 1e-60), 1e60)
-		}
+		column, load = load, column
 	}
 	for i, e := range p.pairs {
 		p.pairs[i].weight = row[e.g] * kernel[i] * column[e.m] / (p.gateways[e.g].Carries / carried)
--- a/internal/fleet/subset/subset.go
+++ b/internal/fleet/subset/subset.go
@@ -7,7 +7,7 @@
 // Each gateway picks members and each member picks gateways, by weighted rendezvous; the
 // pairs picked on either side are the plan's. What a gateway sends to each of its members
 // follows by scaling the pairs' weights until each gateway's sum is what it carries and
-// each member's sum is its capacity's part of all.
+// each member's sum is about its capacity's part of all.
 package subset
 
 import (
@@ -21,14 +21,16 @@
 
 // Bounds and tuned values, each with its reason.
 const (
-	MostGateways = 4096    // of a view: a plan of 4096 x 4096 takes about a second
-	MostMembers  = 4096    // of a group
-	most         = 16      // times the median is the most that a gateway's word of what it carries counts
-	near         = 8       // times as willingly does a gateway pick, and load, a member of its own zone
-	tolerance    = 0.002   // a plan whose members' loads are within this is done
-	rounds       = 300     // of scaling at the most; 20 are usual
-	keep         = 0.5     // of a part's weight: where less is fit, stand-ins from outside help out
-	standIns     = 4       // at once, each its even part
+	MostGateways = 4096 // of a view: a plan of 4096 x 4096 takes about a second
+	MostMembers  = 4096 // of a group
+	most         = 16   // times the median is the most that a gateway's word of what it carries counts
+
+	near     = 2    // times as willingly does a gateway pick, and load, a member of its own zone: more moves more when one goes
+	firm     = 0.9  // how firmly members' loads are held to their capacity: 1 is even and moves most, 0 would not hold them
+	still    = 1e-5 // part by which no scale changes any more: the plan is done
+	rounds   = 300  // of scaling at the most; 70 are usual
+	keep     = 0.5  // of a part's weight: where less is fit, stand-ins from outside help out
+	standIns = 4    // at once, each its even part
 )
 
 // Gateway is one that lives, as the view has it.
@@ -63,7 +65,7 @@
 }
 
 // Usual are the picks that the figures in docs/design/subsets.md are of.
-var Usual = Config{Picks: 6, Asks: 6}
+var Usual = Config{Picks: 4, Asks: 16}
 
 // TooMany tells that a view is larger than a plan may be.
 type TooMany struct {
@@ -86,10 +88,10 @@
 	group    string
 	gateways []Gateway
 	members  []Member
-	pairs    []pair // in the order of gateways, then members
-	first    []int  // of each gateway's pairs, and the end
+	pairs    []pair  // in the order of gateways, then members
+	first    []int   // of each gateway's pairs, and the end
 	Rounds   int     // of scaling that were done
-	Off      float64 // by how much of its capacity's part the worst member's load is off it
+	Off      float64 // by how much of its capacity's part the worst member has more than that
 }
 
 type pair struct {
@@ -136,8 +138,14 @@
 		}
 	}
 	if v.Verdict != view.Whole {
+		// Each that is cut off takes others to be there, else all would lean to the members that these leave.
+		// Their names come after all others.
+		of := ""
+		if len(all) > 0 {
+			of = all[0].Name
+		}
 		for i := len(all); i < v.Expected; i++ {
-			all = append(all, Gateway{Name: fmt.Sprintf("\x00%d", i), Carries: median})
+			all = append(all, Gateway{Name: fmt.Sprintf("\xff%d of %s", i, of), Carries: median})
 		}
 	}
 	return all
