--- a/internal/fleet/subset/subset.go
+++ b/internal/fleet/subset/subset.go
@@ -27,8 +27,8 @@
 
 	near     = 2    // times as willingly does a gateway pick, and load, a member of its own zone: more moves more when one goes
 	firm     = 0.9  // how firmly members' loads are held to their capacity: 1 is even and moves most, 0 would not hold them
-	still    = 1e-5 // part by which no scale changes any more: the plan is done
-	rounds   = 300  // of scaling at the most; 70 are usual
+	still    = 1e-7 // part by which no scale changes any more: the plan is done
+	rounds   = 300  // of scaling at the most; 120 are usual
 	keep     = 0.5  // of a part's weight: where less is fit, stand-ins from outside help out
 	standIns = 4    // at once, each its even part
 )
@@ -65,7 +65,7 @@
 }
 
 // Usual are the picks that the figures in docs/design/subsets.md are of.
-var Usual = Config{Picks: 4, Asks: 16}
+var Usual = Config{Picks: 4, Asks: 24}
 
 // TooMany tells that a view is larger than a plan may be.
 type TooMany struct {
