--- a/internal/fleet/subset/plan.go
+++ b/internal/fleet/subset/plan.go
@@ -44,8 +44,8 @@
 		mine = mine[:0]
 		own := hash(seed, gw.Name)
 		for m := range names {
-			mine = least(mine, picks+1, scored{m, score(mix(own^names[m]), p.willing(g, m))})
-			byMember[m] = least(byMember[m], asks+1, scored{g, score(mix(own+names[m]), gw.Carries)})
+			mine = offer(mine, picks+1, m, mix(own^names[m]), p.willing(g, m))
+			byMember[m] = offer(byMember[m], asks+1, g, mix(own+names[m]), gw.Carries)
 		}
 		for k, w := range taper(mine, picks) {
 			p.pairs = append(p.pairs, pair{g, mine[k].at, w})
@@ -92,6 +92,14 @@
 	}
 }
 
+// offer is least of one's score, without its logarithm where it can't be among them.
+func offer(list []scored, n, at int, h uint64, weight float64) []scored {
+	if len(list) == n && 1-chance(h) > list[n-1].score*weight { // -log(x) is never below 1 - x
+		return list
+	}
+	return least(list, n, scored{at, score(h, weight)})
+}
+
 // least puts s among the n least of a list in order.
 func least(list []scored, n int, s scored) []scored {
 	if len(list) == n && list[n-1].compare(s) < 0 {
@@ -164,9 +172,12 @@
 // score is the rendezvous of one that is picked with the weight given: of a list, the chance
 // to have the least is as the weights are.
 func score(h uint64, weight float64) float64 {
-	return -math.Log((float64(h>>11)+0.5)/(1<<53)) / weight
+	return -math.Log(chance(h)) / weight
 }
 
+// chance is a number above 0 and up to 1.
+func chance(h uint64) float64 { return (float64(h>>11) + 0.5) / (1 << 53) }
+
 const offset uint64 = 14695981039346656037
 
 func hash(h uint64, s string) uint64 {
--- a/internal/fleet/subset/subset.go
+++ b/internal/fleet/subset/subset.go
@@ -21,8 +21,8 @@
 
 // Bounds and tuned values, each with its reason.
 const (
-	MostGateways = 4096 // of a view: a plan of 4096 x 4096 takes about a second
-	MostMembers  = 4096 // of a group
+	MostGateways = 2048 // of a view: the work grows with gateways x members, see BenchmarkNew
+	MostMembers  = 2048 // of a group
 	most         = 16   // times the median is the most that a gateway's word of what it carries counts
 
 	near     = 2    // times as willingly does a gateway pick, and load, a member of its own zone: more moves more when one goes
