--- a/internal/fleet/subset/subset_test.go
+++ b/internal/fleet/subset/subset_test.go
@@ -212,3 +212,26 @@
 		})
 	}
 }
+
+// TestRough holds claim 3 where gateways tell what they carry in eighths of the most, as view.Meta does,
+// and prints what moves when half of the gateways or members go at once.
+func TestRough(t *testing.T) {
+	v := fleet(rand.New(rand.NewPCG(1, 2)), 300, 120, true)
+	told := without(v, -1, -1)
+	for i, g := range told.Gateways {
+		told.Gateways[i].Carries = max(math.Round(g.Carries*0.8), 1) / 0.8
+	}
+	most, _ := load(v, planned(told))
+	t.Logf("told in eighths: load %.3f", most)
+	if most > 1.25 {
+		t.Errorf("load %.3f", most)
+	}
+	was, half := planned(v), without(v, -1, -1)
+	half.Gateways = slices.DeleteFunc(half.Gateways, func(g Gateway) bool { return hash(offset, g.Name)%2 == 0 })
+	s, opened := moved(half, was, planned(half))
+	t.Logf("half the gateways go: %.2f of the others' load moves, %d new pairs of %d gateways", s, opened, len(half.Gateways))
+	half = without(v, -1, -1)
+	half.Members = slices.DeleteFunc(half.Members, func(m Member) bool { return hash(offset, m.Name)%2 == 0 })
+	s, opened = moved(v, was, planned(half))
+	t.Logf("half the members go: %.2f of the load moves, %d new pairs of %d gateways", s, opened, len(v.Gateways))
+}
