Rules of subscriber lists: withdrawals, homes, limits, blocks, leases, what is forgotten

Regions that go on alone need one list again after a heal, by rules that ask no wall clock. internal/fanout/rules is pure: records that merge by joins, numbers by region and life, a floor under which removals are forgotten, refusal of old copies and joining anew.

--- /dev/null
+++ b/internal/fanout/rules/message.go
@@ -0,0 +1,195 @@
+package rules
+
+import (
+	"maps"
+	"slices"
+)
+
+// Message is what a region tells another. Records may come in parts, in any order and
+// repeatedly, but an entry with its device's record if there is one: a withdrawal
+// without it would let a late copy of an older subscription pass; only the last part of a whole one (Whole) lets the receiver claim what
+// the sender has seen. Receivers don't change it.
+type Message struct {
+	From               Replica
+	Seen, Floor, Beats Vector
+	Acked              map[Region]Vector
+	Turn               uint64
+	Entries            map[Key]Entry
+	Devices            map[string]Presence
+	Blocks             map[Target]Marks
+	Parted             map[string]Parted
+	Whole              bool
+}
+
+// Parted tells of a device whose last entry is gone, for the time that is left in which
+// late copies of its requests may come.
+type Parted struct {
+	P    Presence
+	Left Time
+}
+
+// Offer returns the whole list as a message. Anything that it tells must be durable
+// before it is sent.
+func (l *List) Offer(now Time) Message {
+	l.beats[l.me]++
+	m := Message{
+		From: l.me, Seen: maps.Clone(l.seen), Floor: maps.Clone(l.floor), Beats: maps.Clone(l.beats), Acked: map[Region]Vector{},
+		Turn: l.turn, Entries: map[Key]Entry{}, Devices: maps.Clone(l.devices), Blocks: map[Target]Marks{}, Whole: true,
+	}
+	m.Parted = make(map[string]Parted, len(l.parted))
+	for d, q := range l.parted {
+		m.Parted[d] = Parted{q.p, q.until - now}
+	}
+	for r, v := range l.acked {
+		m.Acked[r] = maps.Clone(v)
+	}
+	m.Acked[l.cfg.Region] = m.Seen
+	for k, e := range l.entries {
+		m.Entries[k] = e.clone()
+	}
+	for t, b := range l.blocks {
+		m.Blocks[t] = maps.Clone(b)
+	}
+	return m
+}
+
+// Took tells what came of a message.
+type Took struct {
+	Joined  bool  // this region's list was out of date past mending: it joined anew by the sender's
+	Dropped []Key // and these grants, which the sender lacks, are gone from here: their devices must ask again
+	Later   bool  // it must join anew and waits for a whole message to do it by; nothing was merged
+}
+
+// Take merges a message. The error is an *OldError or *DivergedError; then
+// nothing was merged.
+func (l *List) Take(now Time, m Message) (Took, error) {
+	var took Took
+	l.runs(now)
+	for r, n := range m.Beats { // who told whom is known also from a message that is refused
+		if n <= l.beats[r] || r.Region == l.cfg.Region {
+			continue
+		}
+		l.beats[r] = n
+		if r != m.From && r.Life < l.life[r.Region] { // late news of a former life
+			continue
+		}
+		l.life[r.Region] = r.Life
+		if now-l.last[r.Region] > l.cfg.Cut {
+			l.healed = now
+		}
+		l.last[r.Region] = now
+	}
+	l.raise(now, nil) // before the message is judged by the floor: it must not rise between that and the merge
+	if !l.guards.Old {
+		for r, n := range l.floor {
+			if m.Seen[r] < n && !l.seen.Covers(m.Floor) {
+				return took, &DivergedError{m.From}
+			}
+			if m.Seen[r] < n {
+				return took, &OldError{m.From, r, m.Seen[r], n}
+			}
+		}
+		if !l.seen.Covers(m.Floor) {
+			if !m.Whole {
+				return Took{Later: true}, nil
+			}
+			took = l.join(m)
+		}
+	}
+	l.turn = max(l.turn, m.Turn)
+	l.raise(now, m.Floor)
+	touched := map[string]struct{}{}
+	for k, e := range m.Entries {
+		e = e.clone()
+		e.Gone = l.above(e.Gone)
+		l.put(k, l.mergeEntry(l.entries[k], e))
+		touched[k.Device] = struct{}{}
+	}
+	for d, p := range m.Devices {
+		if len(l.byDevice[d]) == 0 {
+			continue
+		}
+		if k, ok := l.devices[d]; !ok || l.greater(p, k) {
+			l.setDevice(d, p)
+		}
+		touched[d] = struct{}{}
+	}
+	for d, q := range m.Parted {
+		l.heardOf(now, d, q)
+	}
+	if took.Joined {
+		for d := range l.devices {
+			touched[d] = struct{}{}
+		}
+	}
+	for d := range touched {
+		l.settle(d)
+	}
+	for t, b := range m.Blocks {
+		l.blocks[t] = joined(l.blocks[t], b)
+		l.settleBlock(t)
+	}
+	l.waiting = nil
+	if m.Whole {
+		l.seen.join(m.Seen)
+		for r, v := range m.Acked {
+			if r == l.cfg.Region { // may be of a former life, and more than an old copy holds
+				continue
+			}
+			if l.acked[r] == nil {
+				l.acked[r] = Vector{}
+			}
+			l.acked[r].join(v)
+		}
+	}
+	l.raise(now, nil)
+	return took, nil
+}
+
+// heardOf takes in where a device was last heard that has no entry at the sender.
+func (l *List) heardOf(now Time, d string, q Parted) {
+	if len(l.byDevice[d]) > 0 {
+		if k, ok := l.devices[d]; !ok || l.greater(q.P, k) {
+			l.setDevice(d, q.P)
+		}
+		return
+	}
+	was, ok := l.parted[d]
+	if q.Left <= 0 || ok && l.greater(was.p, q.P) {
+		return
+	}
+	if !ok || l.greater(q.P, was.p) {
+		was = parted{p: q.P}
+	}
+	was.until = max(was.until, now+q.Left)
+	l.parted[d] = was
+}
+
+// join clears the list for the sender's. Removals that the sender has not seen stay: it
+// can't know their fate, while of those that it has seen its list tells. Grants go: a
+// withdrawal of them may be forgotten by all that count.
+func (l *List) join(m Message) Took {
+	took := Took{Joined: true}
+	l.floor.join(m.Floor)
+	unseen := func(by Replica, n uint64) bool { return n > m.Seen[by] }
+	for k, e := range l.entries {
+		if o := m.Entries[k]; e.Granted && !o.Granted {
+			took.Dropped = append(took.Dropped, k)
+		}
+		e.Granted, e.Rank = false, Rank{}
+		maps.DeleteFunc(e.Gone, func(r Replica, k Mark) bool { return !unseen(r, k.N) && !unseen(k.Past.By, k.Past.N) })
+		l.put(k, e)
+	}
+	for t, b := range l.blocks {
+		maps.DeleteFunc(b, func(r Replica, k Mark) bool { return !unseen(r, k.N) && !unseen(k.Past.By, k.Past.N) })
+		if len(b) == 0 {
+			delete(l.blocks, t)
+		}
+	}
+	l.seen = maps.Clone(m.Seen)
+	if l.next > 0 {
+		l.seen[l.me] = l.next
+	}
+	slices.SortFunc(took.Dropped, compareKeys)
+	return took
+}
--- a/internal/fanout/rules/types.go
+++ b/internal/fanout/rules/types.go
@@ -19,7 +19,8 @@
 type Region string
 
 // Replica is a region in one life: a start of its process, never used twice, also
-// after a folder was lost or put back.
+// after a folder was lost or put back. Lives should grow: where one does not, only what
+// others tell of the region passes for old.
 type Replica struct {
 	Region Region
 	Life   uint64
@@ -27,8 +28,43 @@
 
 // Dot numbers one removal (a withdrawal, block, lift or end) of a replica, from 1 on.
 type Dot struct {
-	By Replica
-	N  uint64
+	By   Replica
+	N    uint64
+	Anew uint8 // how often it was told anew, since the number before was lost with its life
+}
+
+func (a Dot) compare(b Dot) int {
+	return cmp.Or(cmp.Compare(a.Anew, b.Anew), compareReplicas(a.By, b.By), cmp.Compare(a.N, b.N))
+}
+
+// Mark is a replica's last withdrawal of a key, or block of a target.
+type Mark struct {
+	N uint64
+	// Past is over when all have seen it: the lift of a block (zero: it holds), or the
+	// number by which a withdrawal was told anew (zero: its own N is waited for).
+	Past Dot
+}
+
+// Marks holds the marks of each replica.
+type Marks map[Replica]Mark
+
+// covers tells whether the numbers of m reach those of o.
+func (m Marks) covers(o Marks) bool {
+	for r, k := range o {
+		if m[r].N < k.N {
+			return false
+		}
+	}
+	return true
+}
+
+// join merges o into m: of each replica the greater number, of one number the later fate.
+func (m Marks) join(o Marks) {
+	for r, b := range o {
+		if a := m[r]; cmp.Or(cmp.Compare(a.N, b.N), a.Past.compare(b.Past)) < 0 {
+			m[r] = b
+		}
+	}
 }
 
 // Vector holds for each replica the number up to which its removals are meant.
@@ -54,6 +90,10 @@
 // Key names an entry: one device of a customer on one topic.
 type Key struct{ Topic, Customer, Device string }
 
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Topic, b.Topic), cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Device, b.Device))
+}
+
 // Rank orders who goes first: lower first. A subscription made where another was known
 // has the higher one.
 type Rank struct {
@@ -71,7 +111,7 @@
 
 // Entry is what is known of a key. Without a grant it is a removal that is kept.
 type Entry struct {
-	Gone    Vector // withdrawals, of which a grant has seen all; nothing at or under the floor
+	Gone    Marks // withdrawals, of which a grant has seen all; nothing at or under the floor
 	Granted bool
 	Rank    Rank // of the grant
 }
@@ -91,7 +131,7 @@
 // epoch and count the region whose name sorts first holds.
 func (p Presence) Compare(o Presence) int {
 	return cmp.Or(cmp.Compare(p.Epoch, o.Epoch), cmp.Compare(p.Count, o.Count), cmp.Compare(o.Home, p.Home),
-		cmp.Compare(p.Span, o.Span), compareReplicas(p.End.By, o.End.By), cmp.Compare(p.End.N, o.End.N))
+		p.End.compare(o.End), cmp.Compare(p.Span, o.Span))
 }
 
 // Kind is what a limit or block is about.
@@ -112,15 +152,6 @@
 	Name string
 }
 
-// Mark is a replica's last block of a target, and its lift.
-type Mark struct {
-	N    uint64
-	Lift Dot // zero: it holds
-}
-
-// Block holds the marks of a target.
-type Block map[Replica]Mark
-
 // Reason tells why a subscriber is not delivered to.
 type Reason string
 
@@ -149,6 +180,7 @@
 	Cut     Time // a region not heard of for so long is cut off
 	Grace   Time // after a heal, before leases that ran out are ended
 	Term    Time // a region not heard of for so long may be counted out
+	Late    Time // a copy of a device's request comes at most so late: what the device last sent is known so long after its last entry
 }
 
 // Guards switches single rules off, for checks that must then miss them.
@@ -179,3 +211,13 @@
 	return fmt.Sprintf("region %s life %d has seen removals of %s life %d up to %d, all had acknowledged %d: an old or empty copy, or it was counted out; it joins anew by itself at its next exchange the other way",
 		e.From.Region, e.From.Life, e.Of.Region, e.Of.Life, e.Has, e.Min)
 }
+
+// DivergedError refuses a message between two regions each of which has forgotten
+// removals that the other never saw: each was counted out by the other, which takes a
+// third that lost its folder meanwhile. Neither list can be mended by rule.
+type DivergedError struct{ From Replica }
+
+func (e *DivergedError) Error() string {
+	return fmt.Sprintf("region %s life %d and this one have each forgotten removals that the other never saw, wanted one of them to cover the other: an operator empties the folder of the one whose subscribers are to be asked again",
+		e.From.Region, e.From.Life)
+}
