--- a/internal/fanout/rules/list.go
+++ b/internal/fanout/rules/list.go
@@ -194,10 +194,11 @@
 	}
 }
 
-// Subscribe takes a subscription of a device that was heard here; of p its epoch,
-// its count (from 1, one for each request) and a span over 0 are used. Token holds what withdrawals of this key the device was told of
-// (the Gone of Withdraw); the subscription has seen these and those known here. A
-// subscription that stands keeps its rank. The error is a *StaleError.
+// Subscribe takes a subscription of a device that was heard here; of p its epoch, its
+// count (from 1, one for each request) and a span over 0 are used. Token holds what
+// withdrawals of this key the device was told of (as Withdraw returned it); the
+// subscription has seen these and those known here. One that stands keeps its rank. The
+// error is a *StaleError; then nothing was taken.
 func (l *List) Subscribe(now Time, k Key, p Presence, token Vector) error {
 	e := l.entries[k].clone()
 	if err := l.stale(k.Device, p, !e.Granted); err != nil {
--- a/internal/fanout/rules/types.go
+++ b/internal/fanout/rules/types.go
@@ -180,7 +180,7 @@
 	Cut     Time // a region not heard of for so long is cut off
 	Grace   Time // after a heal, before leases that ran out are ended
 	Term    Time // a region not heard of for so long may be counted out
-	Late    Time // a copy of a device's request comes at most so late: what the device last sent is known so long after its last entry
+	Late    Time // a copy of a device's request comes at most so late; what it last sent is remembered so long
 }
 
 // Guards switches single rules off, for checks that must then miss them.
