branch/replay: which queued write may go now, and what an answer or its loss means

Intents before sends, repeats within the cluster's window only, doubts settled by check or word, one key one fate.

--- /dev/null
+++ b/internal/branch/replay/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package replay
+
+const raced = true
--- /dev/null
+++ b/internal/branch/replay/replay.go
@@ -0,0 +1,602 @@
+package replay
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"reachwind/internal/branch/causes"
+)
+
+type phase uint8
+
+const (
+	idle     phase = iota
+	keeping        // a record is on its way to the copies
+	armed          // the intent is kept, no attempt was made
+	out            // an attempt is out
+	between        // an attempt may have run; the next waits for it to run out
+	doubt          // whether it has run is not known
+	checking       // is being asked
+)
+
+// entry is one write. The first part is what kept records say.
+type entry struct {
+	w              Write
+	round          int
+	open           bool // the newest round was begun and nothing kept says how it ended
+	cleared        bool // some doubt ended in "has not run"
+	outcome        Outcome
+	reason         string
+	ground         Dot
+	held, released bool
+
+	phase   phase
+	pend    Kept // while keeping
+	again   Time // when to try to keep it again, 0 while it is out
+	doubted bool // it was in doubt when pend was made
+	start   Time // the window counts from here
+	over    Time // no attempt made so far runs after this
+	attempt int
+	maybe   bool // an attempt of this round may have run
+	next    Time
+	fails   int
+	block   *entry // was not over when last looked at
+	told    string // the last notice, so that it is told once
+}
+
+// Replayer is one holder's replay of an office's writes. It is its owner's alone.
+type Replayer struct {
+	cfg     Config
+	off     Guard
+	fence   uint64
+	until   Time // the permit's term
+	linked  bool
+	n       uint64
+	all     map[Dot]*entry
+	order   []*entry // not over, oldest first
+	sorted  bool
+	claims  map[string]*entry // by key: who was, or may have been, sent for it
+	floor   map[causes.Queue]uint64
+	clear   map[causes.Queue]uint64 // all up to here is applied
+	flight  int
+	nextOut Time
+	retired Accounts
+	acts    []Action
+}
+
+// New returns the replayer of a holder that has the office's permit under fence until a time on its clock, with all
+// writes that are known, what was kept by those before it (whole: see docs/design/branch.md), and where each queue was
+// forgotten up to. The permit's holder before it has no attempt that can run after now.
+func New(cfg Config, now Time, fence uint64, until Time, floor map[causes.Queue]uint64, writes []Write, kept []Heard, off Guard) (*Replayer, error) {
+	cfg.Window = cmp.Or(cfg.Window, 2*time.Second)
+	cfg.Margin = cmp.Or(cfg.Margin, 100*time.Millisecond)
+	cfg.Runs = cmp.Or(cfg.Runs, 600*time.Millisecond)
+	cfg.Rate = cmp.Or(cfg.Rate, 20)
+	cfg.Out = cmp.Or(cfg.Out, 8)
+	cfg.Pause = cmp.Or(cfg.Pause, 200*time.Millisecond)
+	cfg.PauseMax = cmp.Or(cfg.PauseMax, 10*time.Second)
+	r := &Replayer{cfg: cfg, off: off, fence: fence, until: until, all: map[Dot]*entry{}, claims: map[string]*entry{},
+		floor: map[causes.Queue]uint64{}, clear: map[causes.Queue]uint64{}, nextOut: now}
+	for q, n := range floor {
+		r.floor[q], r.clear[q] = n, n
+	}
+	for _, w := range writes {
+		if err := r.Add(w); err != nil {
+			return nil, err
+		}
+	}
+	kept = slices.Clone(kept)
+	slices.SortStableFunc(kept, func(a, b Heard) int { return cmp.Or(cmp.Compare(a.Fence, b.Fence), cmp.Compare(a.N, b.N)) })
+	for _, k := range kept {
+		e := r.all[k.Dot]
+		if e == nil {
+			if k.Dot.N <= r.floor[k.Dot.Queue] {
+				continue
+			}
+			return nil, &UnknownReceiptError{k.Dot} // records of a write that was lost: the copies are not whole
+		}
+		r.apply(e, k.Kept)
+		if k.Kind == KindIntent {
+			e.start = k.At
+			if !k.Known {
+				e.start = now - cfg.Window
+			}
+		}
+	}
+	for _, e := range r.all {
+		if e.outcome == Open && e.open {
+			e.phase, e.maybe, e.over = between, true, now
+			r.flight++
+			if !r.on(GuardTakeover) {
+				e.start = now
+			}
+		}
+	}
+	return r, nil
+}
+
+func (r *Replayer) on(g Guard) bool { return r.off&g == 0 }
+
+// Add takes a write that was queued. One that is known, or forgotten, is passed over.
+func (r *Replayer) Add(w Write) error {
+	if r.all[w.Dot] != nil || w.Dot.N <= r.floor[w.Dot.Queue] {
+		return nil
+	}
+	for _, d := range slices.Concat(w.Causes.Dots, w.Causes.Upto) {
+		if d.Queue == w.Dot.Queue && d.N >= w.Dot.N {
+			return &BadCauseError{w.Dot, d}
+		}
+	}
+	e := &entry{w: w}
+	r.all[w.Dot] = e
+	r.order, r.sorted = append(r.order, e), false
+	return nil
+}
+
+// Permit notes that the permit was renewed, until a time on this clock.
+func (r *Replayer) Permit(until Time) { r.until = until }
+
+// Link notes whether the office counts as linked. While it does not, nothing new is sent.
+func (r *Replayer) Link(linked bool) { r.linked = linked }
+
+// may reports whether an attempt may go out now.
+func (r *Replayer) may(now Time) bool {
+	if !r.linked || now+r.cfg.Runs > r.until && r.on(GuardTerm) {
+		return false
+	}
+	return now >= r.nextOut || !r.on(GuardRate)
+}
+
+func (r *Replayer) spend(now Time) {
+	r.nextOut = max(now, r.nextOut) + time.Second/time.Duration(r.cfg.Rate)
+}
+
+// apply is the only way kept state changes.
+func (r *Replayer) apply(e *entry, k Kept) {
+	switch k.Kind {
+	case KindIntent:
+		e.round, e.open = k.Round, true
+		if r.claims[e.w.Key] == nil {
+			r.claims[e.w.Key] = e
+		}
+	case KindBack:
+		e.open = false
+	case KindRetry:
+		e.open, e.cleared = false, true
+		if e.round < k.Round {
+			e.round = k.Round
+		}
+	case KindHold:
+		e.held, e.released = true, false
+	case KindRelease:
+		e.held, e.released = false, true
+	case KindOutcome:
+		if e.outcome == Open {
+			e.outcome, e.reason, e.ground, e.open = k.Outcome, k.Reason, k.Ground, false
+			if r.claims[e.w.Key] == nil {
+				r.claims[e.w.Key] = e
+			}
+		}
+	}
+}
+
+// keep asks for a record; what it says holds once it is kept.
+func (r *Replayer) keep(e *entry, k Kept) {
+	r.n++
+	k.Fence, k.N, k.Dot = r.fence, r.n, e.w.Dot
+	e.doubted = e.phase == doubt || e.phase == checking
+	if e.phase == idle || e.doubted {
+		r.flight++
+	}
+	e.phase, e.pend, e.again = keeping, k, 0
+	r.acts = append(r.acts, Action{Kind: ActKeep, Dot: e.w.Dot, Record: k})
+}
+
+// land ends a flight: the write is idle or in doubt again, or over.
+func (r *Replayer) land(e *entry, p phase) {
+	if e.phase == keeping || e.phase == armed || e.phase == out || e.phase == between {
+		r.flight--
+	}
+	e.phase = p
+}
+
+// back puts off the next try of a write.
+func (r *Replayer) back(e *entry, now Time) {
+	e.next = now + min(r.cfg.Pause<<min(e.fails, 16), r.cfg.PauseMax)
+	e.fails++
+}
+
+func (r *Replayer) tell(e *entry, note string) {
+	if e.told != note {
+		e.told = note
+		r.acts = append(r.acts, Action{Kind: ActNotice, Dot: e.w.Dot, Round: e.round, Note: note})
+	}
+}
+
+func (r *Replayer) take() []Action {
+	a := r.acts
+	r.acts = nil
+	return a
+}
+
+// Kept tells that the record of an ActKeep is on its copies, or could not be brought there. One that may be there and
+// may not is not kept.
+func (r *Replayer) Kept(now Time, k Kept, ok bool) []Action {
+	e := r.all[k.Dot]
+	if e == nil || e.phase != keeping || e.pend.N != k.N || k.Fence != r.fence {
+		return nil
+	}
+	if !ok {
+		if r.back(e, now); k.Kind == KindIntent {
+			r.land(e, idle)
+		} else {
+			e.again = e.next
+		}
+		return r.take()
+	}
+	r.apply(e, k)
+	switch k.Kind {
+	case KindIntent:
+		e.phase, e.attempt, e.maybe = armed, 0, false
+	case KindOutcome:
+		r.land(e, idle)
+		if k.Outcome == Dropped {
+			r.tell(e, fmt.Sprintf("dropped: %v, which it depends on, was refused", k.Ground))
+		}
+	default:
+		r.land(e, idle)
+	}
+	return r.tick(now)
+}
+
+// Answered tells how an attempt ended.
+func (r *Replayer) Answered(now Time, d Dot, round, attempt int, a Answer, reason string) []Action {
+	e := r.all[d]
+	if e == nil {
+		return nil
+	}
+	if e.phase != out || e.round != round || e.attempt != attempt {
+		if a != Ran {
+			return r.tick(now)
+		}
+		switch { // late, but the truth
+		case e.outcome == Applied && e.round == round:
+		case e.outcome != Open || e.round != round:
+			r.tell(e, fmt.Sprintf("conflict: round %d has run after all, its outcome is %v in round %d", round, e.outcome, e.round))
+		case e.phase == doubt || e.phase == checking || e.phase == between:
+			r.keep(e, Kept{Kind: KindOutcome, Round: round, Outcome: Applied})
+		}
+		return r.tick(now)
+	}
+	switch {
+	case a == Ran:
+		r.keep(e, Kept{Kind: KindOutcome, Round: round, Outcome: Applied})
+	case a == Refuses:
+		r.keep(e, Kept{Kind: KindOutcome, Round: round, Outcome: Refused, Reason: reason})
+	case a == NotRun && !e.maybe:
+		r.back(e, now)
+		r.keep(e, Kept{Kind: KindBack, Round: round})
+	default:
+		e.maybe = e.maybe || a == Maybe
+		e.phase = between
+	}
+	return r.tick(now)
+}
+
+// Checked tells what a check found.
+func (r *Replayer) Checked(now Time, d Dot, round int, f Finding) []Action {
+	e := r.all[d]
+	if e == nil || e.phase != checking && e.phase != doubt || e.round != round && r.on(GuardRound) {
+		return nil
+	}
+	switch f {
+	case HasRun:
+		r.keep(e, Kept{Kind: KindOutcome, Round: e.round, Outcome: Applied, Reason: "found by its check"})
+	case HasNotRun:
+		r.back(e, now)
+		r.keep(e, Kept{Kind: KindRetry, Round: e.round})
+	default:
+		e.phase = doubt
+		r.back(e, now)
+	}
+	return r.tick(now)
+}
+
+// Resolve takes an operator's word. Words on a doubt name its round, as Fate told it.
+func (r *Replayer) Resolve(now Time, d Dot, round int, w Word) ([]Action, error) {
+	e := r.all[d]
+	if e == nil {
+		return nil, &UnknownReceiptError{d}
+	}
+	state := r.fate(e).State
+	unsure := e.phase == doubt || e.phase == checking
+	switch {
+	case w <= WordRetry && !unsure:
+		return nil, &WrongStateError{d, state, "in doubt"}
+	case w <= WordRetry && e.round != round && r.on(GuardRound):
+		return nil, &OldRoundError{d, round, e.round}
+	case w == WordApplied:
+		r.keep(e, Kept{Kind: KindOutcome, Round: e.round, Outcome: Applied, Reason: "an operator's word"})
+	case w == WordNotApplied:
+		r.keep(e, Kept{Kind: KindOutcome, Round: e.round, Outcome: Refused, Reason: "not applied, by an operator's word"})
+	case w == WordRetry:
+		r.keep(e, Kept{Kind: KindRetry, Round: e.round})
+	case e.outcome != Open || e.phase != idle:
+		return nil, &WrongStateError{d, state, "waiting or held"}
+	case w == WordHold:
+		r.keep(e, Kept{Kind: KindHold, Round: e.round})
+	default:
+		r.keep(e, Kept{Kind: KindRelease, Round: e.round})
+	}
+	return r.tick(now), nil
+}
+
+// Tick does what is due. It is to be called every 50 ms or oftener.
+func (r *Replayer) Tick(now Time) []Action { return r.tick(now) }
+
+func (r *Replayer) tick(now Time) []Action {
+	if !r.sorted {
+		slices.SortStableFunc(r.order, func(a, b *entry) int {
+			return cmp.Or(cmp.Compare(a.w.Queued, b.w.Queued), a.w.Dot.Compare(b.w.Dot))
+		})
+		r.sorted = true
+	}
+	over := false
+	for _, e := range r.order {
+		if e.outcome != Open {
+			over = true
+			continue
+		}
+		r.step(e, now)
+		if !r.on(GuardPoison) && e.outcome == Open {
+			break
+		}
+	}
+	if over {
+		r.order = slices.DeleteFunc(r.order, func(e *entry) bool { return e.outcome != Open })
+	}
+	return r.take()
+}
+
+// step does what is due for one write that is not over.
+func (r *Replayer) step(e *entry, now Time) {
+	switch e.phase {
+	case keeping:
+		if e.again > 0 && now >= e.again {
+			e.again = 0
+			r.acts = append(r.acts, Action{Kind: ActKeep, Dot: e.w.Dot, Record: e.pend})
+		}
+	case armed:
+		if !r.linked || now+r.cfg.Runs > r.until && r.on(GuardTerm) {
+			r.keep(e, Kept{Kind: KindBack, Round: e.round}) // nothing was sent
+		} else if r.may(now) {
+			e.start = now
+			r.send(e, now)
+		}
+	case out:
+		if now >= e.over+r.cfg.Runs { // its answer can't come any more
+			e.phase, e.maybe = between, true
+		}
+	case between:
+		switch {
+		case now+r.cfg.Runs > e.start+r.cfg.Window-r.cfg.Margin && r.on(GuardWindow):
+			if now >= e.over || !r.on(GuardOver) {
+				r.land(e, doubt)
+				e.next = now
+				r.tell(e, "in doubt: it may have run, and the cluster would not drop a repeat any more")
+			}
+		case (now >= e.over || !r.on(GuardOver)) && r.may(now):
+			r.send(e, now)
+		}
+	case checking:
+		if now >= e.next {
+			e.phase = doubt
+			r.back(e, now)
+		}
+	case doubt:
+		if now >= e.next && r.cfg.Classes[e.w.Class].Checks && r.may(now) {
+			r.spend(now)
+			e.phase, e.next = checking, now+10*r.cfg.Runs
+			r.acts = append(r.acts, Action{Kind: ActCheck, Dot: e.w.Dot, Key: e.w.Key, Round: e.round})
+		}
+	case idle:
+		r.begin(e, now)
+	}
+}
+
+func (r *Replayer) send(e *entry, now Time) {
+	r.spend(now)
+	e.attempt++
+	e.phase, e.over = out, now+r.cfg.Runs
+	r.acts = append(r.acts, Action{Kind: ActSend, Dot: e.w.Dot, Key: e.w.Key, Round: e.round, Attempt: e.attempt, Until: e.over})
+}
+
+// begin lets a write that waits go on, if it may.
+func (r *Replayer) begin(e *entry, now Time) {
+	if e.held || now < e.next || e.block != nil && e.block.outcome == Open {
+		return
+	}
+	// one key has one fate, whichever of its receipts comes first: sent, or dropped
+	if c := r.claims[e.w.Key]; c != nil && c != e && r.on(GuardTwin) {
+		if e.block = c; c.outcome != Open {
+			r.keep(e, Kept{Kind: KindOutcome, Round: e.round, Outcome: c.outcome, Reason: c.reason, Ground: c.w.Dot})
+		}
+		return
+	}
+	switch s, d := r.ground(e); s {
+	case stWait:
+		return
+	case stHeld:
+		r.tell(e, fmt.Sprintf("held: %v, which it may depend on, was refused", d))
+		return
+	case stDrop:
+		r.claims[e.w.Key] = e
+		r.keep(e, Kept{Kind: KindOutcome, Round: e.round, Outcome: Dropped, Reason: "its cause was refused", Ground: d})
+		return
+	}
+	if !r.may(now) || r.flight >= r.cfg.Out {
+		return
+	}
+	r.claims[e.w.Key] = e // from here on: two intents for one key must not be on their way at once
+	if e.w.Unvouched && e.round == 0 && !e.cleared && r.on(GuardVouch) {
+		e.phase, e.next = doubt, now
+		r.tell(e, "in doubt: a gateway of the office may have sent it before the cut")
+		return
+	}
+	if !r.on(GuardIntent) {
+		e.round, e.attempt, e.maybe, e.start = e.round+1, 0, false, now
+		r.flight++
+		r.send(e, now)
+		return
+	}
+	r.keep(e, Kept{Kind: KindIntent, Round: e.round + 1})
+}
+
+type standing uint8
+
+const (
+	stGo standing = iota
+	stWait
+	stHeld
+	stDrop
+)
+
+// ground tells what a write's causes make of it, and which cause it is.
+func (r *Replayer) ground(e *entry) (standing, Dot) {
+	worst, who := stGo, Dot{}
+	rule := r.cfg.Classes[e.w.Class].Rule
+	look := func(d Dot, exact bool) bool {
+		if d.N <= r.floor[d.Queue] {
+			return true
+		}
+		x := r.all[d]
+		switch {
+		case x == nil && !e.released && r.on(GuardMissing):
+			worst, who = stWait, d
+			return false
+		case x == nil, x.outcome == Applied:
+		case x.outcome == Open:
+			if r.on(GuardCause) {
+				worst, who, e.block = stWait, d, x
+				return false
+			}
+		case e.released || rule == GoOn || !r.on(GuardRule):
+		case rule == Drop && (exact || !r.on(GuardPrefix)):
+			worst, who = stDrop, d
+		case worst == stGo:
+			worst, who = stHeld, d
+		}
+		return true
+	}
+	for _, d := range e.w.Causes.Dots {
+		if !look(d, true) {
+			return worst, who
+		}
+	}
+	for _, u := range e.w.Causes.Upto {
+		for n := r.applied(u.Queue) + 1; n <= u.N; n++ {
+			if !look(Dot{Queue: u.Queue, N: n}, false) {
+				return worst, who
+			}
+		}
+	}
+	return worst, who
+}
+
+// applied is up to where all of a queue is applied.
+func (r *Replayer) applied(q causes.Queue) uint64 {
+	for {
+		x := r.all[Dot{Queue: q, N: r.clear[q] + 1}]
+		if x == nil || x.outcome != Applied {
+			return r.clear[q]
+		}
+		r.clear[q]++
+	}
+}
+
+// Accounts counts all receipts that were ever known here.
+func (r *Replayer) Accounts() Accounts {
+	a := r.retired
+	for _, e := range r.all {
+		a.Receipts++
+		switch {
+		case e.outcome == Applied:
+			a.Applied++
+		case e.outcome != Open:
+			a.Refused++
+		case e.phase == doubt, e.phase == checking, e.phase == keeping && e.doubted:
+			a.InDoubt++
+		default:
+			a.Waiting++
+		}
+	}
+	return a
+}
+
+// Show tells one receipt's fate.
+func (r *Replayer) Show(d Dot) (Fate, error) {
+	e := r.all[d]
+	if e == nil {
+		return Fate{}, &UnknownReceiptError{d}
+	}
+	return r.fate(e), nil
+}
+
+func (r *Replayer) fate(e *entry) Fate {
+	f := Fate{Dot: e.w.Dot, State: "waiting", Reason: e.reason, Ground: e.ground, Round: e.round, Attempt: e.attempt}
+	switch {
+	case e.outcome != Open:
+		f.State = e.outcome.String()
+	case e.phase == doubt, e.phase == checking, e.phase == keeping && e.doubted:
+		f.State = "in doubt"
+	case e.phase != idle:
+		f.State = "out"
+	case e.held:
+		f.State = "held"
+	default:
+		s, d := r.ground(e)
+		if f.Ground = d; s == stHeld {
+			f.State = "held"
+		}
+	}
+	return f
+}
+
+// Forget lets a queue's receipts go up to n, once they are past the age until which they can be asked for. Each has to
+// be over, and nothing that is not over may depend on one that was refused.
+func (r *Replayer) Forget(q causes.Queue, n uint64) error {
+	for i := r.floor[q] + 1; i <= n; i++ {
+		e := r.all[Dot{Queue: q, N: i}]
+		if e == nil {
+			return &UnknownReceiptError{Dot{Queue: q, N: i}}
+		}
+		if e.outcome == Open {
+			return &NotOverError{e.w.Dot, r.fate(e).State}
+		}
+		if e.outcome != Applied {
+			for _, x := range r.order {
+				if x.outcome == Open && x.w.Causes.Has(e.w.Dot) {
+					return &NotOverError{x.w.Dot, r.fate(x).State}
+				}
+			}
+		}
+	}
+	for i := r.floor[q] + 1; i <= n; i++ {
+		e := r.all[Dot{Queue: q, N: i}]
+		delete(r.all, e.w.Dot)
+		if r.claims[e.w.Key] == e {
+			delete(r.claims, e.w.Key)
+		}
+		r.retired.Receipts++
+		if e.outcome == Applied {
+			r.retired.Applied++
+		} else {
+			r.retired.Refused++
+		}
+	}
+	r.floor[q] = max(r.floor[q], n)
+	r.clear[q] = max(r.clear[q], r.floor[q])
+	return nil
+}
--- /dev/null
+++ b/internal/branch/replay/types.go
@@ -0,0 +1,288 @@
+// Package replay tells which queued write of a cut-off office may be sent now, what an answer or its loss means, and
+// what became of each receipt. It does no I/O, starts no goroutine and reads no clock: events and a time in, actions out.
+package replay
+
+import (
+	"fmt"
+	"time"
+
+	"reachwind/internal/branch/causes"
+)
+
+// Time is a point on the owner's monotonic clock, or a span on it.
+type Time = time.Duration
+
+// Dot is a receipt.
+type Dot = causes.Dot
+
+// Write is one queued write, as its queue kept it.
+type Write struct {
+	causes.Record
+	Key       string // idempotency key, with whose it is
+	Class     string
+	Unvouched bool // some gateway of the office may have sent the key before the cut: it begins in doubt
+	Queued    Time // when it was queued, as well as the queue can tell on this clock: for who goes first, nothing else
+}
+
+// Rule is what a class makes of a write whose cause was refused.
+type Rule uint8
+
+// The rules.
+const (
+	Hold Rule = iota // waits for an operator's release
+	Drop             // is refused too, with a notice
+	GoOn             // is sent all the same
+)
+
+// Class is what the configuration says of a class.
+type Class struct {
+	Rule   Rule
+	Checks bool // it gave a statement whose answer tells whether a write has run
+}
+
+// Config bounds a replayer. Zero values stand for the defaults.
+type Config struct {
+	Classes  map[string]Class
+	Window   Time // the cluster drops a repeat of a key for so long after it ran (2 s)
+	Margin   Time // clocks and timers may be off by so much within the window (100 ms)
+	Runs     Time // an attempt is told it has so long, and can't run later (600 ms)
+	Rate     int  // sends and checks a second (20)
+	Out      int  // writes between intent and outcome at once (8)
+	Pause    Time // after a try that did not run, doubling (200 ms)
+	PauseMax Time // up to this (10 s)
+}
+
+// Outcome is what became of a write.
+type Outcome uint8
+
+// The outcomes. A dropped write counts as refused.
+const (
+	Open Outcome = iota
+	Applied
+	Refused
+	Dropped
+)
+
+// String is the outcome's name in tables and JSON.
+func (o Outcome) String() string {
+	return [...]string{"open", "applied", "refused", "dropped"}[o&3]
+}
+
+// Kind is what a kept record says.
+type Kind uint8
+
+// The kinds of kept records, on disk too.
+const (
+	KindIntent  Kind = 1 // round Round may be sent from now on
+	KindBack    Kind = 2 // no attempt of it has run
+	KindOutcome Kind = 3
+	KindRetry   Kind = 4 // a check or an operator found that it has not run
+	KindHold    Kind = 5 // an operator holds it
+	KindRelease Kind = 6 // it goes on in spite of refused or unknown causes
+)
+
+// Kept is one record of the replay. State is what the records in their order say, and nothing else.
+type Kept struct {
+	Fence   uint64  `cbor:"1,keyasint"`
+	N       uint64  `cbor:"2,keyasint"` // grows within a fence
+	Dot     Dot     `cbor:"3,keyasint"`
+	Kind    Kind    `cbor:"4,keyasint"`
+	Round   int     `cbor:"5,keyasint"`
+	Outcome Outcome `cbor:"6,keyasint,omitempty"`
+	Reason  string  `cbor:"7,keyasint,omitempty"`
+	Ground  Dot     `cbor:"8,keyasint,omitzero"` // the cause that was refused, or whose outcome with the same key this is
+}
+
+// Heard is a kept record as another replayer takes it over.
+type Heard struct {
+	Kept
+	At    Time // when this very process took the record as a copy, on its own clock
+	Known bool // At holds: not read from a disk, nor told later
+}
+
+// Answer is how an attempt ended.
+type Answer uint8
+
+// The answers. What is not surely one of the others is Maybe.
+const (
+	Ran     Answer = iota // the primary took it
+	Refuses               // the store refused it for good: it has not run and will not
+	NotRun                // turned away, no primary, never connected: no effect
+	Maybe                 // lost, broken, late: it may have run
+)
+
+// Word is an operator's.
+type Word uint8
+
+// The words.
+const (
+	WordApplied Word = iota
+	WordNotApplied
+	WordRetry
+	WordHold
+	WordRelease
+)
+
+// Finding is what a check told.
+type Finding uint8
+
+// The findings.
+const (
+	Unknown Finding = iota
+	HasRun
+	HasNotRun
+)
+
+// ActionKind is what the owner has to do.
+type ActionKind uint8
+
+// The actions.
+const (
+	ActKeep   ActionKind = iota // keep Record on the stated number of copies, then call Kept
+	ActSend                     // send Dot with its key, to run by Until or not at all, then call Answered
+	ActCheck                    // ask the primary whether Dot has run, then call Checked
+	ActNotice                   // tell the operator and whoever asks for the receipt: Note
+)
+
+// Action is one thing to do. Every keep, send and check is followed by its event, or this replayer ends.
+type Action struct {
+	Kind    ActionKind
+	Dot     Dot
+	Key     string
+	Round   int
+	Attempt int
+	Until   Time
+	Record  Kept
+	Note    string
+}
+
+// Accounts is what became of all receipts: Receipts = Applied + Refused + InDoubt + Waiting.
+type Accounts struct {
+	Receipts, Applied, Refused, InDoubt, Waiting int
+}
+
+// Fate is one receipt's.
+type Fate struct {
+	Dot     Dot
+	State   string // waiting, held, out, in doubt, applied, refused, dropped
+	Reason  string
+	Ground  Dot // what it waits for, or whose outcome it shares
+	Round   int // which an operator's word on its doubt has to name
+	Attempt int
+}
+
+// Guard is one thing that keeps the promises; checks switch them off one by one.
+type Guard uint32
+
+// The guards.
+const (
+	GuardIntent   Guard = 1 << iota // an intent is kept before a send
+	GuardWindow                     // a repeat goes out only within the cluster's window
+	GuardOver                       // and, as checks do, only after the attempt before it has run out
+	GuardTakeover                   // the window of another's intent counts from when it was heard, or is over
+	GuardTerm                       // nothing is sent that could run after the permit's term
+	GuardFence                      // keepers refuse an older holder's records
+	GuardTwin                       // one key is sent for one receipt
+	GuardRound                      // findings and words name the doubt they are about
+	GuardCause                      // what a write depends on goes first
+	GuardRule                       // dependents of a refused write by their rule
+	GuardPrefix                     // what depends by a prefix only is not dropped
+	GuardMissing                    // a cause that is not known here is waited for
+	GuardPoison                     // a write that can't go on holds no stranger
+	GuardRate                       // sends a second
+	GuardVouch                      // a write that may have been sent before the cut begins in doubt
+)
+
+// Guards are all of them, with what each keeps.
+var Guards = []struct {
+	Guard Guard
+	Keeps string
+}{
+	{GuardIntent, "who takes over knows what may have been sent"},
+	{GuardWindow, "a late repeat is not applied twice"},
+	{GuardOver, "no attempt runs behind another's answer"},
+	{GuardTakeover, "a takeover does not stretch the window"},
+	{GuardTerm, "a stopped replayer sends nothing later"},
+	{GuardFence, "an old holder changes no outcome"},
+	{GuardTwin, "one key with two receipts is applied once"},
+	{GuardRound, "an old word or finding settles no newer doubt"},
+	{GuardCause, "causes come first"},
+	{GuardRule, "dependents of a refused write by their rule"},
+	{GuardPrefix, "no stranger is dropped"},
+	{GuardMissing, "an unknown cause is waited for"},
+	{GuardPoison, "one poisoned write holds no stranger"},
+	{GuardRate, "the rate is kept"},
+	{GuardVouch, "what may have gone before the cut is asked first"},
+}
+
+// UnknownReceiptError says that no such write is known here.
+type UnknownReceiptError struct{ Dot Dot }
+
+func (e *UnknownReceiptError) Error() string {
+	return fmt.Sprintf("receipt %v is not known here: ask the office's other gateways, or it is past the age until which receipts are kept", e.Dot)
+}
+
+// WrongStateError says that a word does not fit what became of the write.
+type WrongStateError struct {
+	Dot          Dot
+	Found, Wants string
+}
+
+func (e *WrongStateError) Error() string {
+	return fmt.Sprintf("receipt %v is %s, the word is for one that is %s: look at it again with show", e.Dot, e.Found, e.Wants)
+}
+
+// OldRoundError says that a word is about an earlier doubt.
+type OldRoundError struct {
+	Dot          Dot
+	Found, Wants int
+}
+
+func (e *OldRoundError) Error() string {
+	return fmt.Sprintf("receipt %v: the word is about round %d and the doubt is now about round %d: look again whether it has run", e.Dot, e.Found, e.Wants)
+}
+
+// StaleFenceError says that a record comes from a holder that another has followed.
+type StaleFenceError struct{ Found, Newest uint64 }
+
+func (e *StaleFenceError) Error() string {
+	return fmt.Sprintf("a record under fence %d after fence %d was taken: its replayer has to stop, another one goes on", e.Found, e.Newest)
+}
+
+// BadCauseError says that a write names itself or a later one of its queue as its cause.
+type BadCauseError struct{ Dot, Cause Dot }
+
+func (e *BadCauseError) Error() string {
+	return fmt.Sprintf("receipt %v depends on %v, which is not before it: its record is damaged, set the queue aside and ask the operator", e.Dot, e.Cause)
+}
+
+// NotOverError says that a queue can't be forgotten yet.
+type NotOverError struct {
+	Dot   Dot
+	State string
+}
+
+func (e *NotOverError) Error() string {
+	return fmt.Sprintf("receipt %v is %s, and only what is over and nobody depends on can be forgotten: settle it first", e.Dot, e.State)
+}
+
+// Keeper is the rule by which a copy takes records: none under a fence older than the newest it knows.
+type Keeper struct {
+	fence uint64
+	off   Guard
+}
+
+// NewKeeper returns a keeper that knows fence. Guards are switched off for checks only.
+func NewKeeper(fence uint64, off Guard) *Keeper { return &Keeper{fence, off} }
+
+// Follow notes that a holder with this fence reads what is kept here: older ones are refused from here on.
+func (k *Keeper) Follow(fence uint64) { k.fence = max(k.fence, fence) }
+
+// Admit reports whether the record may be kept.
+func (k *Keeper) Admit(r Kept) error {
+	if r.Fence < k.fence && k.off&GuardFence == 0 {
+		return &StaleFenceError{r.Fence, k.fence}
+	}
+	k.Follow(r.Fence)
+	return nil
+}
