--- a/internal/branch/replay/replay.go
+++ b/internal/branch/replay/replay.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"fmt"
 	"slices"
 	"time"
@@ -42,8 +43,28 @@
 	maybe   bool // an attempt of this round may have run
 	next    Time
 	fails   int
-	block   *entry // was not over when last looked at
 	told    string // the last notice, so that it is told once
+
+	ready   bool     // is in the heap of those to look at
+	waiters []*entry // wait for this one to be over
+}
+
+// before orders writes by age: oldest first.
+func (e *entry) before(f *entry) int {
+	return cmp.Or(cmp.Compare(e.w.Queued, f.w.Queued), e.w.Dot.Compare(f.w.Dot))
+}
+
+// queue is the heap of writes that may be able to go on, oldest first.
+type queue []*entry
+
+func (q queue) Len() int           { return len(q) }
+func (q queue) Less(i, j int) bool { return q[i].before(q[j]) < 0 }
+func (q queue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)        { *q = append(*q, x.(*entry)) }
+func (q *queue) Pop() any {
+	e := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return e
 }
 
 // Replayer is one holder's replay of an office's writes. It is its owner's alone.
@@ -55,8 +76,9 @@
 	linked  bool
 	n       uint64
 	all     map[Dot]*entry
-	order   []*entry // not over, oldest first
-	sorted  bool
+	ready   queue             // idle, to be looked at
+	busy    []*entry          // between intent and outcome, in doubt, or resting after a failed try; oldest first
+	missing map[Dot][]*entry  // wait for a write that is not known here
 	claims  map[string]*entry // by key: who was, or may have been, sent for it
 	floor   map[causes.Queue]uint64
 	clear   map[causes.Queue]uint64 // all up to here is applied
@@ -77,7 +99,7 @@
 	cfg.Out = cmp.Or(cfg.Out, 8)
 	cfg.Pause = cmp.Or(cfg.Pause, 200*time.Millisecond)
 	cfg.PauseMax = cmp.Or(cfg.PauseMax, 10*time.Second)
-	r := &Replayer{cfg: cfg, off: off, fence: fence, until: until, all: map[Dot]*entry{}, claims: map[string]*entry{},
+	r := &Replayer{cfg: cfg, off: off, fence: fence, until: until, all: map[Dot]*entry{}, missing: map[Dot][]*entry{}, claims: map[string]*entry{},
 		floor: map[causes.Queue]uint64{}, clear: map[causes.Queue]uint64{}, nextOut: now}
 	for q, n := range floor {
 		r.floor[q], r.clear[q] = n, n
@@ -108,6 +130,7 @@
 	for _, e := range r.all {
 		if e.outcome == Open && e.open {
 			e.phase, e.maybe, e.over = between, true, now
+			r.mind(e)
 			r.flight++
 			if !r.on(GuardTakeover) {
 				e.start = now
@@ -131,10 +154,29 @@
 	}
 	e := &entry{w: w}
 	r.all[w.Dot] = e
-	r.order, r.sorted = append(r.order, e), false
+	r.look(e)
+	for _, x := range r.missing[w.Dot] {
+		r.look(x)
+	}
+	delete(r.missing, w.Dot)
 	return nil
 }
 
+// look has a write looked at in the next tick.
+func (r *Replayer) look(e *entry) {
+	if !e.ready {
+		e.ready = true
+		heap.Push(&r.ready, e)
+	}
+}
+
+// mind has a write's times watched.
+func (r *Replayer) mind(e *entry) {
+	if i, ok := slices.BinarySearchFunc(r.busy, e, (*entry).before); !ok {
+		r.busy = slices.Insert(r.busy, i, e)
+	}
+}
+
 // Permit notes that the permit was renewed, until a time on this clock.
 func (r *Replayer) Permit(until Time) { r.until = until }
 
@@ -191,6 +233,7 @@
 		r.flight++
 	}
 	e.phase, e.pend, e.again = keeping, k, 0
+	r.mind(e)
 	r.acts = append(r.acts, Action{Kind: ActKeep, Dot: e.w.Dot, Record: k})
 }
 
@@ -337,25 +380,30 @@
 func (r *Replayer) Tick(now Time) []Action { return r.tick(now) }
 
 func (r *Replayer) tick(now Time) []Action {
-	if !r.sorted {
-		slices.SortStableFunc(r.order, func(a, b *entry) int {
-			return cmp.Or(cmp.Compare(a.w.Queued, b.w.Queued), a.w.Dot.Compare(b.w.Dot))
-		})
-		r.sorted = true
-	}
-	over := false
-	for _, e := range r.order {
-		if e.outcome != Open {
-			over = true
+	for i := 0; i < len(r.busy); i++ {
+		e := r.busy[i]
+		r.step(e, now)
+		if e.outcome == Open && (e.phase != idle || now < e.next) {
 			continue
 		}
-		r.step(e, now)
-		if !r.on(GuardPoison) && e.outcome == Open {
-			break
+		r.busy = slices.Delete(r.busy, i, i+1)
+		i--
+		if e.outcome == Open {
+			r.look(e)
+			continue
+		}
+		for _, x := range e.waiters {
+			r.look(x)
 		}
+		e.waiters = nil
 	}
-	if over {
-		r.order = slices.DeleteFunc(r.order, func(e *entry) bool { return e.outcome != Open })
+	for len(r.ready) > 0 && (r.on(GuardPoison) || len(r.busy) == 0) {
+		e := r.ready[0]
+		if e.outcome == Open && e.phase == idle && !r.begin(e, now) {
+			break
+		}
+		e.ready = false
+		heap.Pop(&r.ready)
 	}
 	return r.take()
 }
@@ -401,8 +449,6 @@
 			e.phase, e.next = checking, now+10*r.cfg.Runs
 			r.acts = append(r.acts, Action{Kind: ActCheck, Dot: e.w.Dot, Key: e.w.Key, Round: e.round})
 		}
-	case idle:
-		r.begin(e, now)
 	}
 }
 
@@ -413,45 +459,60 @@
 	r.acts = append(r.acts, Action{Kind: ActSend, Dot: e.w.Dot, Key: e.w.Key, Round: e.round, Attempt: e.attempt, Until: e.over})
 }
 
-// begin lets a write that waits go on, if it may.
-func (r *Replayer) begin(e *entry, now Time) {
-	if e.held || now < e.next || e.block != nil && e.block.outcome == Open {
-		return
+// begin lets a write that waits go on, or sets it aside until what it waits for comes. It reports false where nothing
+// may be sent now at all.
+func (r *Replayer) begin(e *entry, now Time) bool {
+	if e.held {
+		return true // until it is released
+	}
+	if now < e.next {
+		r.mind(e)
+		return true
 	}
 	// one key has one fate, whichever of its receipts comes first: sent, or dropped
 	if c := r.claims[e.w.Key]; c != nil && c != e && r.on(GuardTwin) {
-		if e.block = c; c.outcome != Open {
+		if c.outcome == Open {
+			c.waiters = append(c.waiters, e)
+		} else {
 			r.keep(e, Kept{Kind: KindOutcome, Round: e.round, Outcome: c.outcome, Reason: c.reason, Ground: c.w.Dot})
 		}
-		return
+		return true
 	}
 	switch s, d := r.ground(e); s {
 	case stWait:
-		return
+		if x := r.all[d]; x != nil {
+			x.waiters = append(x.waiters, e)
+		} else {
+			r.missing[d] = append(r.missing[d], e)
+		}
+		return true
 	case stHeld:
 		r.tell(e, fmt.Sprintf("held: %v, which it may depend on, was refused", d))
-		return
+		return true
 	case stDrop:
 		r.claims[e.w.Key] = e
 		r.keep(e, Kept{Kind: KindOutcome, Round: e.round, Outcome: Dropped, Reason: "its cause was refused", Ground: d})
-		return
+		return true
 	}
 	if !r.may(now) || r.flight >= r.cfg.Out {
-		return
+		return false
 	}
 	r.claims[e.w.Key] = e // from here on: two intents for one key must not be on their way at once
 	if e.w.Unvouched && e.round == 0 && !e.cleared && r.on(GuardVouch) {
 		e.phase, e.next = doubt, now
+		r.mind(e)
 		r.tell(e, "in doubt: a gateway of the office may have sent it before the cut")
-		return
+		return true
 	}
 	if !r.on(GuardIntent) {
 		e.round, e.attempt, e.maybe, e.start = e.round+1, 0, false, now
 		r.flight++
+		r.mind(e)
 		r.send(e, now)
-		return
+		return true
 	}
 	r.keep(e, Kept{Kind: KindIntent, Round: e.round + 1})
+	return true
 }
 
 type standing uint8
@@ -479,7 +540,7 @@
 		case x == nil, x.outcome == Applied:
 		case x.outcome == Open:
 			if r.on(GuardCause) {
-				worst, who, e.block = stWait, d, x
+				worst, who = stWait, d
 				return false
 			}
 		case e.released || rule == GoOn || !r.on(GuardRule):
@@ -576,7 +637,7 @@
 			return &NotOverError{e.w.Dot, r.fate(e).State}
 		}
 		if e.outcome != Applied {
-			for _, x := range r.order {
+			for _, x := range r.all {
 				if x.outcome == Open && x.w.Causes.Has(e.w.Dot) {
 					return &NotOverError{x.w.Dot, r.fate(x).State}
 				}
