--- a/internal/branch/replay/replay_test.go
+++ b/internal/branch/replay/replay_test.go
@@ -38,6 +38,7 @@
 	clock   Time // its own, beside the world's
 	heard   map[int]Time
 	given   int // writes it was given
+	read    int // how much of the log it took over
 	acked   map[Dot]Outcome
 	sent    []Time
 }
@@ -278,7 +279,7 @@
 			return
 		}
 		p.life++
-		p.r, p.waits, p.given, p.acked, p.sent = r, nil, len(w.known), map[Dot]Outcome{}, nil
+		p.r, p.waits, p.given, p.read, p.acked, p.sent = r, nil, len(w.known), len(w.log), map[Dot]Outcome{}, nil
 		for _, x := range w.known {
 			if o := w.outcome(x.Dot); o != Open {
 				p.acked[x.Dot] = o
@@ -307,6 +308,19 @@
 	if a.Receipts != p.given || a.Applied != applied || a.Refused != refused || a.Receipts != a.Applied+a.Refused+a.InDoubt+a.Waiting {
 		w.fail("accounts %+v, given %d, kept as applied %d, as refused %d", a, p.given, applied, refused)
 	}
+	open := map[Dot]bool{} // what may have been sent is not told as merely waiting
+	for i, k := range w.log {
+		if k.Kind == KindIntent && i < p.read {
+			open[k.Dot] = true
+		} else if k.Kind != KindIntent {
+			delete(open, k.Dot)
+		}
+	}
+	for d := range open {
+		if f, err := p.r.Show(d); err != nil || f.State == "waiting" || f.State == "held" {
+			w.fail("%v may have been sent and is told as %s (%v)", d, f.State, err)
+		}
+	}
 }
 
 // operate is an operator who looks, thinks and then says the truth as it was when he looked.
@@ -608,3 +622,95 @@
 		t.Logf("%s: seed %d: %v", g.Keeps, seed-1, err)
 	}
 }
+
+// TestThin is the whole way once: two gateways of an office, a session that moves between them, a stranger, and a replay in
+// order, then receipts that are forgotten once they are over.
+func TestThin(t *testing.T) {
+	a, b := causes.New(causes.Config{Queue: "kea/g1#1"}, 0), causes.New(causes.Config{Queue: "kea/g2#1"}, 0)
+	first := a.Write("s")
+	if err := b.Bring("s", causes.Context{Dots: []Dot{first.Dot}}); err != nil { // with its receipt
+		t.Fatal(err)
+	}
+	second, stranger := b.Write("s"), b.Write("other")
+	var writes []Write
+	for i, r := range []causes.Record{second, stranger, first} {
+		writes = append(writes, Write{Record: r, Key: fmt.Sprint(i), Class: "map-edits"})
+	}
+	r, err := New(Config{Classes: map[string]Class{"map-edits": {}}}, 0, 1, time.Hour, nil, writes, nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Link(true)
+	var sent []Dot
+	for now := Time(0); now < 2*time.Second; now += 10 * ms {
+		acts := r.Tick(now)
+		for len(acts) > 0 {
+			x := acts[0]
+			acts = acts[1:]
+			switch x.Kind {
+			case ActKeep:
+				acts = append(acts, r.Kept(now, x.Record, true)...)
+			case ActSend:
+				sent = append(sent, x.Dot)
+				acts = append(acts, r.Answered(now, x.Dot, x.Round, x.Attempt, Ran, "")...)
+			}
+		}
+	}
+	if len(sent) != 3 || slices.Index(sent, first.Dot) > slices.Index(sent, second.Dot) {
+		t.Fatalf("sent %v", sent)
+	}
+	if err := r.Forget("kea/g2#1", 3); err == nil {
+		t.Fatal("a receipt that never was is forgotten")
+	}
+	if err := r.Forget("kea/g2#1", 2); err != nil {
+		t.Fatal(err)
+	}
+	if a := r.Accounts(); a != (Accounts{Receipts: 3, Applied: 3}) {
+		t.Fatalf("%+v", a)
+	}
+	if _, err := r.Show(second.Dot); err == nil {
+		t.Fatal("a forgotten receipt is told of")
+	}
+}
+
+// BenchmarkDrain is a write's share of a replay with 100,000 behind one poisoned write and as many that go on.
+func BenchmarkDrain(b *testing.B) {
+	const n = 100_000
+	var writes []Write
+	for i := range n {
+		w := Write{Record: causes.Record{Dot: Dot{Queue: "p", N: uint64(i + 1)}}, Key: fmt.Sprint("p", i)}
+		if i > 0 {
+			w.Causes.Dots = []Dot{{Queue: "p", N: uint64(i)}}
+		}
+		writes = append(writes, w)
+	}
+	for i := range b.N {
+		writes = append(writes, Write{Record: causes.Record{Dot: Dot{Queue: "q", N: uint64(i + 1)}}, Key: fmt.Sprint("q", i)})
+	}
+	r, err := New(Config{Rate: 1_000_000}, 0, 1, 1<<60, nil, writes, nil, 0)
+	if err != nil {
+		b.Fatal(err)
+	}
+	r.Link(true)
+	done := 0
+	b.ResetTimer()
+	for now := Time(0); done < b.N; now += ms {
+		acts := r.Tick(now)
+		for len(acts) > 0 {
+			x := acts[0]
+			acts = acts[1:]
+			switch x.Kind {
+			case ActKeep:
+				acts = append(acts, r.Kept(now, x.Record, true)...)
+			case ActSend:
+				how := Ran
+				if x.Dot.Queue == "p" {
+					how = NotRun
+				} else {
+					done++
+				}
+				acts = append(acts, r.Answered(now, x.Dot, x.Round, x.Attempt, how, "")...)
+			}
+		}
+	}
+}
