--- a/internal/branch/replay/race_test.go
+++ b/internal/lab/simbranch/race_test.go
@@ -1,5 +1,5 @@
 //go:build race
 
-package replay
+package simbranch
 
 const raced = true
--- /dev/null
+++ b/internal/lab/simbranch/simbranch.go
@@ -0,0 +1,603 @@
+// Package simbranch plays the replay of a cut-off office's writes by seed, in virtual time: gateways that are killed, stopped
+// and follow each other under permits, copies that refuse or lose records, a cluster whose primary changes and whose answers are
+// lost, an operator who looks, thinks and then says what was true when he looked. It judges by rules of its own, written from
+// docs/design/branch.md's promises and not from the code: by what ran, and by what was kept.
+package simbranch
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"reachwind/internal/branch/causes"
+	"reachwind/internal/branch/replay"
+)
+
+const ms = time.Millisecond
+
+type event struct {
+	at  replay.Time
+	seq int
+	do  func()
+}
+type events []event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *events) Pop() any     { x := (*q)[len(*q)-1]; *q = (*q)[:len(*q)-1]; return x }
+
+// proc is one gateway of the office that can hold the replay. A stopped one gets all that waited when it wakes.
+type proc struct {
+	r       *replay.Replayer
+	life    int
+	fence   uint64 // of its permit
+	stopped bool
+	down    bool
+	waits   []func()
+	clock   replay.Time // its own, beside the world's
+	heard   map[int]replay.Time
+	given   int // writes it was given
+	read    int // how much of the log it took over
+	acked   map[replay.Dot]replay.Outcome
+	sent    []replay.Time
+}
+
+// world is an office, its keepers and a cluster, by seed. Its rules are written from the promises, not from the package.
+type world struct {
+	rng    *rand.Rand
+	off    replay.Guard
+	cfg    replay.Config
+	now    replay.Time
+	q      events
+	seq    int
+	procs  []*proc
+	holder int
+	fence  uint64
+	term   replay.Time // the council's: nobody else holds the permit before
+	span   replay.Time // of a permit
+	calm   bool        // nothing fails any more
+	linked bool
+	noPrim bool
+	keeper *replay.Keeper
+	log    []replay.Kept // what the copies have
+	logged []replay.Time
+	came   map[replay.Dot]replay.Time // when a write came to those who replay
+	writes []replay.Write
+	known  []replay.Write // what has come together
+	byDot  map[replay.Dot]*replay.Write
+	poison map[string]int // by key: 1 never taken, 2 every answer is lost
+	ran    map[string][]replay.Time
+	broken error
+}
+
+func (w *world) after(d replay.Time, do func()) {
+	w.seq++
+	heap.Push(&w.q, event{w.now + d, w.seq, do})
+}
+func (w *world) some(most replay.Time) replay.Time { return replay.Time(w.rng.Int64N(int64(most))) }
+func (w *world) odds(percent int) bool {
+	return w.rng.IntN(100) < percent
+}
+func (w *world) fail(f string, a ...any) {
+	if w.broken == nil {
+		w.broken = fmt.Errorf("at %v: %s", w.now, fmt.Sprintf(f, a...))
+	}
+}
+
+// to gives an event to a life of a process and carries out what comes of it.
+func (w *world) to(p *proc, f func(now replay.Time) []replay.Action) {
+	life := p.life
+	var do func()
+	do = func() {
+		if p.life != life || p.r == nil {
+			return
+		}
+		if p.stopped {
+			p.waits = append(p.waits, do)
+			return
+		}
+		w.carry(p, f(w.now+p.clock))
+	}
+	do()
+}
+
+func (w *world) carry(p *proc, acts []replay.Action) {
+	for _, a := range acts {
+		switch a.Kind {
+		case replay.ActKeep:
+			d := w.some(60 * ms)
+			if !w.calm && w.odds(5) {
+				d = w.some(6 * time.Second)
+			}
+			lost, untold := !w.calm && w.odds(4), !w.calm && w.odds(4)
+			life := p.life
+			w.after(d, func() {
+				ok := !lost && w.keeper.Admit(a.Record) == nil
+				if ok {
+					w.log, w.logged = append(w.log, a.Record), append(w.logged, w.now)
+					for _, o := range w.procs {
+						if !o.down && !o.stopped {
+							o.heard[len(w.log)-1] = w.now + o.clock
+						}
+					}
+				}
+				w.after(w.some(20*ms), func() {
+					if p.life != life {
+						return
+					}
+					w.to(p, func(now replay.Time) []replay.Action {
+						if ok && !untold && a.Record.Kind == replay.KindOutcome {
+							p.acked[a.Dot] = a.Record.Outcome
+						}
+						return p.r.Kept(now, a.Record, ok && !untold)
+					})
+				})
+			})
+		case replay.ActSend:
+			w.rated(p)
+			w.attempt(p, a)
+		case replay.ActCheck:
+			w.rated(p)
+			late := w.some(200 * ms)
+			if !w.calm && w.odds(10) {
+				late = w.some(12 * time.Second)
+			}
+			if w.linked && !w.noPrim && !(!w.calm && w.odds(10)) {
+				w.after(w.some(50*ms), func() {
+					f := replay.HasNotRun
+					if len(w.ran[a.Key]) > 0 {
+						f = replay.HasRun
+					}
+					w.after(late, func() {
+						w.to(p, func(now replay.Time) []replay.Action { return p.r.Checked(now, a.Dot, a.Round, f) })
+					})
+				})
+			} else if w.odds(50) {
+				w.after(late, func() {
+					w.to(p, func(now replay.Time) []replay.Action { return p.r.Checked(now, a.Dot, a.Round, replay.Unknown) })
+				})
+			}
+		}
+	}
+}
+
+// rated wants sends and checks of one holder within its rate.
+func (w *world) rated(p *proc) {
+	p.sent = append(p.sent, w.now)
+	if n := len(p.sent) - 1 - w.cfg.Rate; n >= 0 && w.now-p.sent[n] < time.Second-ms {
+		w.fail("%d sends within %v", w.cfg.Rate+1, w.now-p.sent[n])
+	}
+}
+
+// attempt is one send: it may run at any time before its end, and its answer may be lost.
+func (w *world) attempt(p *proc, a replay.Action) {
+	answer := func(d replay.Time, x replay.Answer) {
+		w.after(d, func() {
+			w.to(p, func(now replay.Time) []replay.Action {
+				return p.r.Answered(now, a.Dot, a.Round, a.Attempt, x, "conflict")
+			})
+		})
+	}
+	if !w.linked || w.noPrim || w.poison[a.Key] == 1 || !w.calm && w.odds(8) {
+		answer(w.some(100*ms), replay.NotRun)
+		return
+	}
+	left := a.Until - (w.now + p.clock)
+	runs := w.some(min(left, 150*ms))
+	lost := w.poison[a.Key] == 2 || !w.calm && w.odds(25)
+	if lost {
+		if runs = w.some(left); w.odds(50) {
+			answer(w.some(100*ms), replay.Maybe) // the connection breaks; the attempt may run yet
+		}
+	}
+	never := lost && w.odds(50)
+	refused := w.odds(8)
+	w.after(runs, func() {
+		if never || w.noPrim {
+			if !lost {
+				answer(w.some(20*ms), replay.NotRun)
+			}
+			return
+		}
+		x := replay.Ran
+		last := w.ran[a.Key]
+		switch {
+		case len(last) > 0 && w.now-last[len(last)-1] < 2*time.Second: // dropped, answered as the first
+		case refused:
+			x = replay.Refuses
+		default:
+			w.ran[a.Key] = append(last, w.now)
+			w.judge(a.Dot)
+		}
+		if !lost {
+			answer(w.some(50*ms), x)
+		} else if w.poison[a.Key] != 2 && w.odds(20) {
+			answer(w.some(4*time.Second), x)
+		}
+	})
+}
+
+// outcome is what the copies say became of a write.
+func (w *world) outcome(d replay.Dot) replay.Outcome {
+	for _, k := range w.log {
+		if k.Dot == d && k.Kind == replay.KindOutcome {
+			return k.Outcome
+		}
+	}
+	return replay.Open
+}
+
+// judge looks at a write that has just run: once for its key, after its causes, by the rule.
+func (w *world) judge(d replay.Dot) {
+	x := w.byDot[d]
+	if n := len(w.ran[x.Key]); n > 1 {
+		w.fail("%v was applied %d times, at %v", d, n, w.ran[x.Key])
+	}
+	freed, word := false, replay.Time(0) // an operator let it go on in spite of refused causes, and of those not known then
+	for i, k := range w.log {
+		if k.Dot == d && k.Kind == replay.KindRelease && !freed {
+			freed, word = true, w.logged[i]
+		}
+	}
+	for _, c := range w.writes {
+		if !x.Causes.Has(c.Dot) {
+			continue
+		}
+		switch w.outcome(c.Dot) {
+		case replay.Applied:
+		case replay.Open:
+			if at, ok := w.came[c.Dot]; !freed || ok && at < word {
+				w.fail("%v was applied before %v was settled", d, c.Dot)
+			}
+		default:
+			if w.cfg.Classes[x.Class].Rule != replay.GoOn && !freed {
+				w.fail("%v was applied though %v was refused", d, c.Dot)
+			}
+		}
+	}
+}
+
+// elect gives the permit to another, or the same, once the term is over.
+func (w *world) elect() {
+	if w.now > w.term && w.linked {
+		i := w.rng.IntN(len(w.procs))
+		p := w.procs[i]
+		if p.down || p.stopped {
+			return
+		}
+		w.fence++
+		w.holder, w.term = i, w.now+w.span
+		w.keeper.Follow(w.fence)
+		var kept []replay.Heard
+		for j, k := range w.log {
+			at, ok := p.heard[j]
+			kept = append(kept, replay.Heard{Kept: k, At: at, Known: ok})
+		}
+		w.rng.Shuffle(len(kept), func(a, b int) { kept[a], kept[b] = kept[b], kept[a] })
+		r, err := replay.New(w.cfg, w.now+p.clock, w.fence, w.now+p.clock+w.span, nil, w.known, kept, w.off)
+		if err != nil {
+			w.fail("%v", err)
+			return
+		}
+		p.life++
+		p.fence = w.fence
+		p.r, p.waits, p.given, p.read, p.acked, p.sent = r, nil, len(w.known), len(w.log), map[replay.Dot]replay.Outcome{}, nil
+		for _, x := range w.known {
+			if o := w.outcome(x.Dot); o != replay.Open {
+				p.acked[x.Dot] = o
+			}
+		}
+		r.Link(w.linked)
+		return
+	}
+	if p := w.procs[w.holder]; w.fence > 0 && w.linked && w.now <= w.term && !p.stopped && p.r != nil && p.fence == w.fence {
+		w.term = w.now + w.span
+		p.r.Permit(w.now + p.clock + w.span)
+	}
+}
+
+// account wants the sums to hold, by what this holder was told is kept.
+func (w *world) account(p *proc) {
+	a := p.r.Accounts()
+	var applied, refused int
+	for _, o := range p.acked {
+		if o == replay.Applied {
+			applied++
+		} else {
+			refused++
+		}
+	}
+	if a.Receipts != p.given || a.Applied != applied || a.Refused != refused || a.Receipts != a.Applied+a.Refused+a.InDoubt+a.Waiting {
+		w.fail("accounts %+v, given %d, kept as applied %d, as refused %d", a, p.given, applied, refused)
+	}
+	open := map[replay.Dot]bool{} // what may have been sent is not told as merely waiting
+	for i, k := range w.log {
+		if k.Kind == replay.KindIntent && i < p.read {
+			open[k.Dot] = true
+		} else if k.Kind != replay.KindIntent {
+			delete(open, k.Dot)
+		}
+	}
+	for d := range open {
+		if f, err := p.r.Show(d); err != nil || f.State == "waiting" || f.State == "held" {
+			w.fail("%v may have been sent and is told as %s (%v)", d, f.State, err)
+		}
+	}
+}
+
+// operate is an operator who looks, thinks and then says the truth as it was when he looked.
+func (w *world) operate() {
+	p := w.procs[w.holder]
+	if len(w.known) == 0 || p.r == nil || p.stopped {
+		return
+	}
+	x := w.known[w.rng.IntN(len(w.known))]
+	f, err := p.r.Show(x.Dot)
+	if err != nil {
+		w.fail("%v", err)
+		return
+	}
+	word := replay.WordRetry
+	switch {
+	case f.State == "in doubt" && len(w.ran[x.Key]) > 0:
+		word = replay.WordApplied
+	case f.State == "in doubt":
+		if w.odds(30) {
+			word = replay.WordNotApplied
+		}
+	case f.State == "held" || f.State == "waiting" && w.calm && f.Ground != (replay.Dot{}):
+		if word = replay.WordRelease; !w.calm && w.odds(50) {
+			return
+		}
+	case f.State == "waiting" && !w.calm && w.odds(10):
+		word = replay.WordHold
+	default:
+		return
+	}
+	w.after(w.some(8*time.Second), func() {
+		p := w.procs[w.holder]
+		w.to(p, func(now replay.Time) []replay.Action {
+			a, _ := p.r.Resolve(now, x.Dot, f.Round, word) // refused where all has changed meanwhile
+			return a
+		})
+	})
+}
+
+func newWorld(seed uint64, off replay.Guard) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 0x5e9)), off: off, keeper: replay.NewKeeper(0, off), byDot: map[replay.Dot]*replay.Write{},
+		poison: map[string]int{}, came: map[replay.Dot]replay.Time{}, ran: map[string][]replay.Time{}, linked: true, term: -1, span: time.Second}
+	w.cfg = replay.Config{Classes: map[string]replay.Class{}, Rate: 4 + w.rng.IntN(30), Out: 1 + w.rng.IntN(6)}
+	for i := range 6 {
+		w.cfg.Classes[fmt.Sprint("c", i)] = replay.Class{Rule: replay.Rule(i % 3), Checks: i < 3}
+	}
+	if w.odds(50) {
+		w.span = 3 * time.Second
+	}
+	for range 3 {
+		w.procs = append(w.procs, &proc{clock: w.some(time.Hour), heard: map[int]replay.Time{}})
+	}
+	next := map[causes.Queue]uint64{}
+	for i := range 5 + w.rng.IntN(10) {
+		q := causes.Queue(fmt.Sprint("q", w.rng.IntN(3)))
+		next[q]++
+		x := replay.Write{Key: fmt.Sprint("k", i), Class: fmt.Sprint("c", w.rng.IntN(6)), Queued: w.some(10 * time.Second)}
+		x.Dot = replay.Dot{Queue: q, N: next[q]}
+		for _, c := range w.writes {
+			if w.odds(20) {
+				x.Causes.Dots = append(x.Causes.Dots, c.Dot)
+			} else if w.odds(4) {
+				x.Causes.Upto = append(x.Causes.Upto, c.Dot)
+			}
+		}
+		if len(w.writes) > 0 && w.odds(10) {
+			x.Key = w.writes[w.rng.IntN(len(w.writes))].Key // tried in the other half too
+			x.Causes = causes.Context{}
+		}
+		if w.odds(5) {
+			w.poison[x.Key] = 1 + w.rng.IntN(2)
+		}
+		if w.odds(8) {
+			x.Unvouched = true
+			if w.odds(50) && w.ran[x.Key] == nil && !slices.ContainsFunc(w.writes, func(y replay.Write) bool { return y.Key == x.Key }) {
+				w.ran[x.Key] = []replay.Time{-time.Minute}
+			}
+		}
+		w.writes = append(w.writes, x)
+	}
+	for i := range w.writes {
+		x := &w.writes[i]
+		for j := range w.writes { // who shares a key with one that may have been sent may have been sent too
+			x.Unvouched = x.Unvouched || w.writes[j].Key == x.Key && w.writes[j].Unvouched
+		}
+		w.byDot[x.Dot] = x
+		arrive := replay.Time(0)
+		if w.odds(30) {
+			arrive = w.some(10 * time.Second)
+		}
+		w.after(arrive, func() {
+			w.known = append(w.known, *x)
+			w.came[x.Dot] = w.now
+			for _, p := range w.procs {
+				w.to(p, func(replay.Time) []replay.Action {
+					if err := p.r.Add(*x); err != nil {
+						w.fail("%v", err)
+					}
+					p.given++
+					return nil
+				})
+			}
+		})
+	}
+	return w
+}
+
+// Report is what one play came to.
+type Report struct {
+	Ran     int // keys that the cluster ran
+	Intents int
+	Holders int // replayers that followed each other
+}
+
+// Play runs one world with the guards in off switched off: faults for 15 s, then calm until all is settled, or 100 s have
+// passed. The error is the first rule that broke.
+func Play(seed uint64, off replay.Guard) (Report, error) {
+	w := newWorld(seed, off)
+	const chaos = 15 * time.Second
+	every := func(d replay.Time, do func()) {
+		var again func()
+		again = func() { do(); w.after(d, again) }
+		w.after(w.some(d), again)
+	}
+	every(50*ms, func() {
+		for _, p := range w.procs {
+			if !p.stopped && p.r != nil {
+				w.to(p, func(now replay.Time) []replay.Action { return p.r.Tick(now) })
+			}
+		}
+	})
+	every(250*ms, w.elect)
+	every(300*ms, w.operate)
+	every(500*ms, func() {
+		for _, p := range w.procs {
+			if p.r != nil && !p.stopped {
+				w.account(p)
+			}
+		}
+	})
+	harm := 1 + w.rng.IntN(20)
+	every(150*ms, func() {
+		if w.calm || !w.odds(harm) {
+			return
+		}
+		p := w.procs[w.rng.IntN(3)]
+		if w.odds(70) {
+			p = w.procs[w.holder]
+		}
+		switch w.rng.IntN(5) {
+		case 0, 1: // killed: what it held in memory is gone
+			p.r, p.waits, p.heard, p.down, p.stopped = nil, nil, map[int]replay.Time{}, true, false
+			p.life++
+			w.after(w.some(2*time.Second), func() { p.down = false })
+		case 2:
+			if p.r == nil || p.stopped {
+				return
+			}
+			p.stopped = true
+			life := p.life
+			w.after(w.some(8*time.Second), func() {
+				if p.life == life {
+					w.wake(p)
+				}
+			})
+		case 3:
+			w.link(false)
+			w.after(w.some(2*time.Second), func() { w.link(true) })
+		case 4:
+			w.noPrim = true
+			w.after(w.some(3*time.Second), func() { w.noPrim = false })
+		}
+	})
+	w.after(chaos, func() {
+		w.calm, w.noPrim = true, false
+		w.link(true)
+		for _, p := range w.procs {
+			w.wake(p)
+		}
+	})
+	for w.broken == nil && w.now < 100*time.Second && len(w.q) > 0 {
+		e := heap.Pop(&w.q).(event)
+		w.now = e.at
+		if e.do(); w.calm && w.seq%16 == 0 && w.settled() {
+			break
+		}
+	}
+	if w.broken == nil {
+		w.last()
+	}
+	r := Report{Ran: len(w.ran), Holders: int(w.fence)}
+	for _, k := range w.log {
+		if k.Kind == replay.KindIntent {
+			r.Intents++
+		}
+	}
+	return r, w.broken
+}
+
+func (w *world) link(up bool) {
+	w.linked = up
+	for _, p := range w.procs {
+		w.to(p, func(replay.Time) []replay.Action { p.r.Link(w.linked); return nil })
+	}
+}
+
+func (w *world) wake(p *proc) {
+	waits := p.waits
+	p.stopped, p.waits = false, nil
+	for _, f := range waits {
+		f()
+	}
+}
+
+// stuck are writes that may wait for ever: poisoned ones, and what depends on them or shares their key.
+func (w *world) stuck() map[replay.Dot]bool {
+	s := map[replay.Dot]bool{}
+	for n := -1; n != len(s); {
+		n = len(s)
+		for _, x := range w.writes {
+			if w.poison[x.Key] > 0 || slices.ContainsFunc(w.writes, func(y replay.Write) bool {
+				return s[y.Dot] && (x.Causes.Has(y.Dot) || x.Key == y.Key)
+			}) {
+				s[x.Dot] = true
+			}
+		}
+	}
+	return s
+}
+
+func (w *world) settled() bool {
+	for _, x := range w.writes {
+		if w.outcome(x.Dot) == replay.Open {
+			return false
+		}
+	}
+	return true
+}
+
+// last wants every receipt settled, and each outcome true.
+func (w *world) last() {
+	stuck := w.stuck()
+	var kept []replay.Heard
+	for _, k := range w.log {
+		kept = append(kept, replay.Heard{Kept: k})
+	}
+	r, err := replay.New(w.cfg, w.now, w.fence+1, w.now, nil, w.known, kept, w.off)
+	if err != nil {
+		w.fail("%v", err)
+		return
+	}
+	for _, x := range w.writes {
+		f, err := r.Show(x.Dot)
+		ran := len(w.ran[x.Key]) > 0
+		switch {
+		case err != nil:
+			w.fail("%v", err)
+		case f.State == "applied" && !ran, f.State == "refused" && ran, f.State == "dropped" && ran && !x.Unvouched:
+			w.fail("%v counts as %s (%s) and has run: %v", x.Dot, f.State, f.Reason, ran)
+		case f.State == "dropped":
+			if !slices.ContainsFunc(w.writes, func(y replay.Write) bool { // it, or the other receipt of its key
+				return y.Key == x.Key && w.cfg.Classes[y.Class].Rule == replay.Drop &&
+					slices.ContainsFunc(y.Causes.Dots, func(d replay.Dot) bool { return w.outcome(d) > replay.Applied })
+			}) {
+				w.fail("%v was dropped without a refused cause of its own", x.Dot)
+			}
+		case f.State != "applied" && f.State != "refused" && !stuck[x.Dot]:
+			w.fail("%v is still %s, round %d, %v", x.Dot, f.State, f.Round, f.Ground)
+		}
+	}
+}
