--- a/internal/branch/replay/replay.go
+++ b/internal/branch/replay/replay.go
@@ -86,6 +86,9 @@
 	nextOut Time
 	retired Accounts
 	acts    []Action
+	base    Kept
+	based   bool // the base is kept
+	rebase  Time // when to try to keep it again
 }
 
 // New returns the replayer of a holder that has the office's permit under fence until a time on its clock, with all
@@ -110,8 +113,19 @@
 		}
 	}
 	kept = slices.Clone(kept)
-	slices.SortStableFunc(kept, func(a, b Heard) int { return cmp.Or(cmp.Compare(a.Fence, b.Fence), cmp.Compare(a.N, b.N)) })
+	for i := range kept {
+		if !kept[i].Known {
+			kept[i].At = now - cfg.Window
+		}
+	}
+	slices.SortFunc(kept, func(a, b Heard) int {
+		return cmp.Or(cmp.Compare(a.Fence, b.Fence), cmp.Compare(a.N, b.N), cmp.Compare(a.At, b.At))
+	})
+	kept = r.adopt(kept)
 	for _, k := range kept {
+		if k.Kind == KindBase {
+			continue
+		}
 		e := r.all[k.Dot]
 		if e == nil {
 			if k.Dot.N <= r.floor[k.Dot.Queue] {
@@ -122,9 +136,6 @@
 		r.apply(e, k.Kept)
 		if k.Kind == KindIntent {
 			e.start = k.At
-			if !k.Known {
-				e.start = now - cfg.Window
-			}
 		}
 	}
 	for _, e := range r.all {
@@ -140,6 +151,44 @@
 	return r, nil
 }
 
+// adopt leaves what counts of the records that were read, each once, and makes the base.
+func (r *Replayer) adopt(kept []Heard) []Heard {
+	kept = slices.CompactFunc(kept, func(a, b Heard) bool { // sorted, the earliest first
+		return a.Fence == b.Fence && a.N == b.N
+	})
+	newest := -1
+	for i, k := range kept {
+		if k.Kind == KindBase {
+			newest = i
+		}
+	}
+	if newest >= 0 && r.on(GuardBase) {
+		b := kept[newest]
+		kept = slices.DeleteFunc(kept, func(k Heard) bool {
+			return k.Fence < b.Fence && !slices.ContainsFunc(b.Adopts, func(a Adopted) bool {
+				return a.Fence == k.Fence && k.N <= a.Upto && !slices.Contains(a.Not, k.N)
+			})
+		})
+	}
+	r.n++
+	r.base, r.based = Kept{Fence: r.fence, N: r.n, Kind: KindBase}, !r.on(GuardBase)
+	for _, k := range kept {
+		n := len(r.base.Adopts)
+		if n == 0 || r.base.Adopts[n-1].Fence != k.Fence {
+			r.base.Adopts = append(r.base.Adopts, Adopted{Fence: k.Fence})
+			n++
+		}
+		a := &r.base.Adopts[n-1]
+		for a.Upto++; a.Upto < k.N; a.Upto++ {
+			a.Not = append(a.Not, a.Upto)
+		}
+	}
+	return kept
+}
+
+// Begun reports whether this holder's base is kept: before that it does nothing.
+func (r *Replayer) Begun() bool { return r.based }
+
 func (r *Replayer) on(g Guard) bool { return r.off&g == 0 }
 
 // Add takes a write that was queued. One that is known, or forgotten, is passed over.
@@ -267,6 +316,12 @@
 // Kept tells that the record of an ActKeep is on its copies, or could not be brought there. One that may be there and
 // may not is not kept.
 func (r *Replayer) Kept(now Time, k Kept, ok bool) []Action {
+	if k.Kind == KindBase && k.Fence == r.fence {
+		if r.based = r.based || ok; !r.based {
+			r.rebase = now + r.cfg.Pause
+		}
+		return r.tick(now)
+	}
 	e := r.all[k.Dot]
 	if e == nil || e.phase != keeping || e.pend.N != k.N || k.Fence != r.fence {
 		return nil
@@ -353,6 +408,9 @@
 	if e == nil {
 		return nil, &UnknownReceiptError{d}
 	}
+	if !r.based {
+		return nil, &NotBegunError{r.fence}
+	}
 	state := r.fate(e).State
 	unsure := e.phase == doubt || e.phase == checking
 	switch {
@@ -380,6 +438,13 @@
 func (r *Replayer) Tick(now Time) []Action { return r.tick(now) }
 
 func (r *Replayer) tick(now Time) []Action {
+	if !r.based {
+		if now >= r.rebase {
+			r.rebase = 1 << 62 // until its event comes
+			r.acts = append(r.acts, Action{Kind: ActKeep, Record: r.base})
+		}
+		return r.take()
+	}
 	for i := 0; i < len(r.busy); i++ {
 		e := r.busy[i]
 		r.step(e, now)
--- a/internal/branch/replay/types.go
+++ b/internal/branch/replay/types.go
@@ -79,25 +79,39 @@
 	KindRetry   Kind = 4 // a check or an operator found that it has not run
 	KindHold    Kind = 5 // an operator holds it
 	KindRelease Kind = 6 // it goes on in spite of refused or unknown causes
+	KindBase    Kind = 7 // what a holder adopted of those before it; it does nothing before this is kept
 )
 
-// Kept is one record of the replay. State is what the records in their order say, and nothing else.
+// Adopted names records of one fence: all up to Upto, but those in Not.
+type Adopted struct {
+	Fence uint64   `cbor:"1,keyasint"`
+	Upto  uint64   `cbor:"2,keyasint"`
+	Not   []uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Kept is one record of the replay. State is what the records in their order say, and nothing else. Of fences before the
+// newest base, only what it adopts counts: a record that reached too few copies to be found by the next holder is void,
+// though a copy that comes back still has it.
 type Kept struct {
-	Fence   uint64  `cbor:"1,keyasint"`
-	N       uint64  `cbor:"2,keyasint"` // grows within a fence
-	Dot     Dot     `cbor:"3,keyasint"`
-	Kind    Kind    `cbor:"4,keyasint"`
-	Round   int     `cbor:"5,keyasint"`
-	Outcome Outcome `cbor:"6,keyasint,omitempty"`
-	Reason  string  `cbor:"7,keyasint,omitempty"`
-	Ground  Dot     `cbor:"8,keyasint,omitzero"` // the cause that was refused, or whose outcome with the same key this is
+	Fence   uint64    `cbor:"1,keyasint"`
+	N       uint64    `cbor:"2,keyasint"` // grows within a fence
+	Dot     Dot       `cbor:"3,keyasint"`
+	Kind    Kind      `cbor:"4,keyasint"`
+	Round   int       `cbor:"5,keyasint"`
+	Outcome Outcome   `cbor:"6,keyasint,omitempty"`
+	Reason  string    `cbor:"7,keyasint,omitempty"`
+	Ground  Dot       `cbor:"8,keyasint,omitzero"` // the cause that was refused, or whose outcome with the same key this is
+	Adopts  []Adopted `cbor:"9,keyasint,omitempty"`
 }
 
-// Heard is a kept record as another replayer takes it over.
+// Heard is a kept record as one copy told it to the holder that takes over: one for each copy that was read and has it.
 type Heard struct {
 	Kept
-	At    Time // when this very process took the record as a copy, on its own clock
-	Known bool // At holds: not read from a disk, nor told later
+	// At is no later than when that copy took the record from its holder, on the reader's clock: when it was asked, less
+	// the age that the copy told. The earliest counts. Known tells that the copy had its age: it took the record in this
+	// life, and not with a later base.
+	At    Time
+	Known bool
 }
 
 // Answer is how an attempt ended.
@@ -138,10 +152,11 @@
 
 // The actions.
 const (
-	ActKeep   ActionKind = iota // keep Record on the stated number of copies, then call Kept
-	ActSend                     // send Dot with its key, to run by Until or not at all, then call Answered
-	ActCheck                    // ask the primary whether Dot has run, then call Checked
-	ActNotice                   // tell the operator and whoever asks for the receipt: Note
+	// ActKeep: keep Record on the stated number of copies, then call Kept. A base is kept where all that it adopts is.
+	ActKeep   ActionKind = iota
+	ActSend              // send Dot with its key, to run by Until or not at all, then call Answered
+	ActCheck             // ask the primary whether Dot has run, then call Checked
+	ActNotice            // tell the operator and whoever asks for the receipt: Note
 )
 
 // Action is one thing to do. Every keep, send and check is followed by its event, or this replayer ends.
@@ -191,6 +206,7 @@
 	GuardPoison                     // a write that can't go on holds no stranger
 	GuardRate                       // sends a second
 	GuardVouch                      // a write that may have been sent before the cut begins in doubt
+	GuardBase                       // a holder begins with a base, and what no base adopted is void
 )
 
 // Guards are all of them, with what each keeps.
@@ -212,6 +228,7 @@
 	{GuardMissing, "an unknown cause is waited for"},
 	{GuardPoison, "one poisoned write holds no stranger"},
 	{GuardRate, "the rate is kept"},
+	{GuardBase, "a record of too few copies changes nothing later"},
 	{GuardVouch, "what may have gone before the cut is asked first"},
 }
 
@@ -242,6 +259,13 @@
 	return fmt.Sprintf("receipt %v: the word is about round %d and the doubt is now about round %d: look again whether it has run", e.Dot, e.Found, e.Wants)
 }
 
+// NotBegunError says that a holder has not yet kept what it adopted.
+type NotBegunError struct{ Fence uint64 }
+
+func (e *NotBegunError) Error() string {
+	return fmt.Sprintf("the replay under fence %d has not begun, wanted its base on enough copies: say it again in a moment, or look which gateways of the office are there", e.Fence)
+}
+
 // StaleFenceError says that a record comes from a holder that another has followed.
 type StaleFenceError struct{ Found, Newest uint64 }
 
