--- a/internal/branch/replay/types.go
+++ b/internal/branch/replay/types.go
@@ -297,8 +297,9 @@
 	off         Guard
 }
 
-// NewKeeper returns the keeper of a copy that knows fence and has the base of another. Guards are switched off for
-// checks only.
+// NewKeeper returns the keeper of a copy that knows fence and has the base of another. One that lost its folder knows
+// neither what it promised nor what it had: it begins at one more than the newest fence that the council gave, and is not
+// read before it has a base again. Guards are switched off for checks only.
 func NewKeeper(fence, base uint64, off Guard) *Keeper { return &Keeper{fence, base, off} }
 
 // Follow notes that a holder with this fence reads what is kept here: older ones are refused from here on.
