--- /dev/null
+++ b/internal/lab/simbranch/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package simbranch
+
+const raced = false
