A process that ends counts the connection that it has just accepted

Cause, by reading: accept may have returned a connection that Handle had not counted when Shutdown found none left and the process ended; the listening socket lives on, so no backlog is lost otherwise. Change: Shutdown begins when the accept loop has returned.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -339,7 +339,7 @@
 		g.drain(lastCall(c.terms.Now().Longest))
 		close(drained)
 	}()
-	err := windDown(c, g.front, listener, accept, log)
+	err := windDown(c, g.front, listener, accept, failed, log)
 	<-drained
 	g.stop()
 	g.line.stop()
@@ -377,13 +377,14 @@
 // windDown keeps accepting while clients may still be sent here, then answers
 // what was taken and ends when all connections are gone, at the latest before
 // the platform would end it.
-func windDown(c *Config, front *pgfront.Server, listener net.Listener, accept time.Duration, log *slog.Logger) error {
+func windDown(c *Config, front *pgfront.Server, listener net.Listener, accept time.Duration, served <-chan error, log *slog.Logger) error {
 	log.Info("stopping", "accept_for", accept)
 	late := time.After(lastCall(c.terms.Now().Longest))
 	time.Sleep(accept)
 	_ = listener.Close()
 	done := make(chan struct{})
 	go func() {
+		<-served // else the process could end with a connection that was accepted and that nobody has counted yet
 		front.Shutdown()
 		close(done)
 	}()
