Many gateways draw alike by one hash of the registry, in place of two of their own

Cause: subset and turn each held the same FNV and mixer, written twice, where plumbing is to come from the registry.

--- a/internal/fleet/subset/plan.go
+++ b/internal/fleet/subset/plan.go
@@ -5,6 +5,8 @@
 	"iter"
 	"math"
 	"slices"
+
+	"reachwind/internal/fleet/draw"
 )
 
 type scored struct {
@@ -30,10 +32,10 @@
 // Members pick without regard to zones: a zone's loss leaves its gateways with members.
 func (p *Plan) pick(picks, asks int) {
 	gs, ms := len(p.gateways), len(p.members)
-	seed := hash(offset, p.group)
+	seed := draw.Of(0, p.group)
 	names := make([]uint64, ms)
 	for m := range names {
-		names[m] = hash(offset, p.members[m].Name)
+		names[m] = draw.Of(0, p.members[m].Name)
 	}
 	byMember := make([][]scored, ms) // the least scores of each
 	for m := range byMember {
@@ -42,10 +44,10 @@
 	mine := make([]scored, 0, picks+2)
 	for g, gw := range p.gateways {
 		mine = mine[:0]
-		own := hash(seed, gw.Name)
+		own := draw.Of(seed, gw.Name)
 		for m := range names {
-			mine = offer(mine, picks+1, m, mix(own^names[m]), p.willing(g, m))
-			byMember[m] = offer(byMember[m], asks+1, g, mix(own+names[m]), gw.Carries)
+			mine = offer(mine, picks+1, m, draw.Mix(own^names[m]), p.willing(g, m))
+			byMember[m] = offer(byMember[m], asks+1, g, draw.Mix(own+names[m]), gw.Carries)
 		}
 		for k, w := range taper(mine, picks) {
 			p.pairs = append(p.pairs, pair{g, mine[k].at, w})
@@ -177,18 +179,3 @@
 
 // chance is a number above 0 and up to 1.
 func chance(h uint64) float64 { return (float64(h>>11) + 0.5) / (1 << 53) }
-
-const offset uint64 = 14695981039346656037
-
-func hash(h uint64, s string) uint64 {
-	for i := range len(s) {
-		h = (h ^ uint64(s[i])) * 1099511628211
-	}
-	return mix(h)
-}
-
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/fleet/subset/subset.go
+++ b/internal/fleet/subset/subset.go
@@ -16,6 +16,7 @@
 	"math"
 	"slices"
 
+	"reachwind/internal/fleet/draw"
 	"reachwind/internal/fleet/view"
 )
 
@@ -180,10 +181,10 @@
 		in[e.m] = true
 	}
 	var rest []scored
-	seed := hash(hash(offset, p.group), p.gateways[g].Name)
+	seed := draw.Of(draw.Of(0, p.group), p.gateways[g].Name)
 	for m := range p.members {
 		if !in[m] {
-			rest = append(rest, scored{m, score(hash(seed, p.members[m].Name), p.willing(g, m))})
+			rest = append(rest, scored{m, score(draw.Of(seed, p.members[m].Name), p.willing(g, m))})
 		}
 	}
 	slices.SortFunc(rest, scored.compare)
--- a/internal/fleet/turn/turn.go
+++ b/internal/fleet/turn/turn.go
@@ -22,6 +22,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"reachwind/internal/fleet/draw"
 )
 
 // Time is wall time since the Unix epoch, or a span on it.
@@ -89,19 +91,19 @@
 
 // place is me's place in the order of a slot, and how many there are in it.
 func (t Task) place(slot int64, names []string, missing int, me string) (place, n int) {
-	seed := mix(hash(t.Name) ^ mix(uint64(slot)))
-	own := mix(seed ^ hash(me))
+	seed := draw.Mix(draw.Of(0, t.Name) ^ draw.Mix(uint64(slot)))
+	own := draw.Mix(seed ^ draw.Of(0, me))
 	for _, name := range names {
 		if name == me {
 			continue
 		}
-		if s := mix(seed ^ hash(name)); s < own || s == own && name < me {
+		if s := draw.Mix(seed ^ draw.Of(0, name)); s < own || s == own && name < me {
 			place++
 		}
 		n++
 	}
 	for i := range missing {
-		if mix(seed^mix(uint64(i)+1)) < own {
+		if draw.Mix(seed^draw.Mix(uint64(i)+1)) < own {
 			place++
 		}
 		n++
@@ -112,24 +114,10 @@
 // Order is the order in which names come, one after another, in a round of a task: that of
 // healed offices or regions that come back. All that know the names and the round know it.
 func Order(task string, round int64, names []string) []string {
-	seed := mix(hash(task) ^ mix(uint64(round)))
+	seed := draw.Mix(draw.Of(0, task) ^ draw.Mix(uint64(round)))
 	all := slices.Clone(names)
 	slices.SortFunc(all, func(a, b string) int {
-		return cmp.Or(cmp.Compare(mix(seed^hash(a)), mix(seed^hash(b))), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(draw.Mix(seed^draw.Of(0, a)), draw.Mix(seed^draw.Of(0, b))), cmp.Compare(a, b))
 	})
 	return slices.Compact(all)
 }
-
-func hash(s string) uint64 {
-	h := uint64(14695981039346656037)
-	for i := range len(s) {
-		h = (h ^ uint64(s[i])) * 1099511628211
-	}
-	return mix(h)
-}
-
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
