Reads see their session's writes whose answers were lost on the way

Ruled out: a replica chosen beneath the known token (no answer's position was below its read's token), positions that go back, a demoted primary, an answer that had come and was left unread. Fault: learnAnswer kept a commit only for Served, and need looked at commits that were told; a write that is out, or ended by time-out, reset, error or call-off, bound nothing. Found on the way: a keyed repeat that waits for a connection could be written past its window (Before is now its end, and checked where it is written), and a read answered by a member demoted since it was heard of was passed on (now as good as NotHere). Tests TestWriteInDoubtBindsItsSession, TestSendNamesItsBounds, TestTooOldAnswer, TestWriteInDoubt, each seen failing without its lines, 50 times under -race.

--- a/decide/api.go
+++ b/decide/api.go
@@ -127,6 +127,7 @@
 	Checks            Checks
 	RemembersSessions bool // session reads carry no token; commits seen here count
 	AnswersStamped    bool // every answer tells its member's log position
+	KnownAfter        Time // a write counts as known so long after its member answered, though that never came; 0 = once it comes
 
 	ColdShare      float64 // part of its capacity that a member starts with
 	ColdTime       Time    // it is warm by then
@@ -263,6 +264,11 @@
 	return r == Served || r == Errored || r == Full || r == NotHere || r == Rejected
 }
 
+// MayHaveRun tells that the attempt may have had its effect.
+func (r Result) MayHaveRun() bool {
+	return r == Served || r == Errored || r == TimedOut || r == Reset || r == Cancelled
+}
+
 // Event is one thing that happened. Kind tells which fields count.
 type Event struct {
 	Kind    EventKind
@@ -289,6 +295,7 @@
 
 	Role     Role // Outcome: the member's role now, if told
 	Stamped  bool // Outcome: Position was told
+	InDoubt  bool // Outcome of a write that was not Served: it may have committed until Position
 	Position Time // Outcome: log position, or the commit time of a served write
 
 	Report Report // Outcome, Probed
@@ -331,6 +338,7 @@
 	Attempt int
 	Timeout Time
 	Before  Time // Send: written whole by then, else not at all; 0 = any time
+	AtLeast Time // Send: a replica's answer that tells an older position is as good as NotHere; the member has been demoted unheard
 	After   Time
 	At      Time
 	Change  Change // Note
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -170,8 +170,7 @@
 	}
 }
 
-// told takes what other gateways say of a member. Nothing goes out of use for it: it brings a look forward,
-// whose own outcome counts, or a trial; and a write that looks for its primary begins there.
+// told takes what other gateways say of a member: it brings a look or trial forward, whose outcome counts.
 func (r *Router) told(e *Event) {
 	m := r.members[e.Member]
 	switch {
@@ -468,7 +467,7 @@
 	}
 }
 
-// hopeless tells that only cold members are left, and q has missed its chance at each: waiting is no use.
+// hopeless tells that only cold members are left, and q has missed its chance at each.
 func (r *Router) hopeless(q *request) bool {
 	return !slices.ContainsFunc(q.group.members, func(m *member) bool {
 		return !m.gone && m.State != Draining && (!r.cold(m) || r.coldRoom(m, q))
@@ -481,13 +480,26 @@
 	case Bounded:
 		return max(q.floor, r.now-q.class.Bound)
 	case Session:
-		return max(q.floor, q.token)
+		return max(q.floor, q.token, r.unheard(q))
 	case Fresh:
 		return q.arrived
 	}
 	return q.floor
 }
 
+// unheard is until when a write of q's session that is out may have committed, its answer lost on the way.
+func (r *Router) unheard(q *request) Time {
+	known := r.now - r.cfg.KnownAfter
+	for _, m := range q.group.members {
+		for _, a := range m.open {
+			if a.q.class.Writes() && a.q.session == q.session && a.sent < known && known < r.now {
+				return known
+			}
+		}
+	}
+	return never
+}
+
 // choose picks the member for the next attempt, or nil to hold the request.
 func (r *Router) choose(q *request) *member {
 	p := q.group.primary()
@@ -497,9 +509,8 @@
 	need, qualified := r.need(q), false
 	var best, ahead, errs *member
 	var least, leastErrs float64
-	// Exception: a long read that any replica may answer goes to the one furthest behind, as it may apply
-	// nothing meanwhile; spread by SELF, long reads hold back all and tight ones fall on the primary. All
-	// fronts see the same one behind. It could harm where long reads are most of the work.
+	// Exception: a long read that any replica may answer goes to the one furthest behind, at all fronts alike:
+	// spread by SELF, long reads hold back all. It could harm where long reads are most of the work.
 	long := q.class.Consistency == AnyData && q.class.cost > longTimes*r.leastCost()
 	for _, m := range q.group.members {
 		if m == p || !r.usable(m, q) {
@@ -548,8 +559,7 @@
 	return errs
 }
 
-// writeTo is p, or where it is not sound a member that may have become primary: one that has not turns the
-// write away untouched, which is quicker than a probe and costs it less.
+// writeTo is p, or where it is not sound a member that may have become primary: else it turns the write away.
 func (r *Router) writeTo(q *request, p *member) (best *member) {
 	if p != nil && r.usable(p, q) && r.room(p, q, 1) {
 		return p
@@ -569,8 +579,7 @@
 	return best
 }
 
-// spares tells whether m should take a read: where its answers come late reads stay away by chance, so that
-// others are in time and writes get through. What is old of m gives way to what its role has in common.
+// spares tells whether m should take a read: where its answers or its role's come late some stay away.
 func (r *Router) spares(m *member, q *request) bool {
 	f := m.fade(r.now)
 	return q.luck*math.Pow((f*m.strain+(1-f)*r.alike(m).strain)/shedAim, shedSteep) < 1
@@ -592,10 +601,7 @@
 	return s
 }
 
-func (r *Router) erred(m *member) {
-	m.errors += blend * (1 - m.errors)
-	m.erredAt = r.now
-}
+func (r *Router) erred(m *member) { m.errors, m.erredAt = m.errors+blend*(1-m.errors), r.now }
 
 // errs tells that m mostly errs. Errors come fast: SELF would send such a member all there is.
 func (r *Router) errs(m *member) bool {
@@ -603,9 +609,7 @@
 }
 
 // slowness is the member's stretch, fading while nothing is heard.
-func (m *member) slowness(now Time) float64 {
-	return 1 + (m.stretch-1)*m.fade(now)
-}
+func (m *member) slowness(now Time) float64 { return 1 + (m.stretch-1)*m.fade(now) }
 
 // fade is what evidence of m still counts: less the longer nothing was learnt of it.
 func (m *member) fade(now Time) float64 {
@@ -624,8 +628,7 @@
 	return true
 }
 
-// tooLate tells that m would most likely answer when it is of no use any more. A request that was not held
-// is always worth a try: what m's answers took may be old news.
+// tooLate tells that m would most likely answer too late. What is not held is always worth a try.
 func (r *Router) tooLate(q *request, m *member) bool {
 	takes := min(lateTimes*q.class.cost*m.slowness(r.now), freshTry*float64(q.class.Aim))
 	return float64(q.usefulUntil()-r.now) < takes
@@ -654,9 +657,12 @@
 		m.trialAt = r.now + m.trialGap
 		m.trialGap = min(2*m.trialGap, trialMost)
 	}
-	act := Action{Kind: Send, Request: q.id, Member: m.ID, Timeout: max(q.usefulUntil()-r.now, clockSlack)}
-	if q.class.Consistency == Bounded && m != q.group.primary() && r.cfg.Checks == ChecksOff {
-		act.Before = m.pos + q.class.Bound // what is known of m does no longer
+	act := Action{Kind: Send, Request: q.id, Member: m.ID, Timeout: max(q.usefulUntil()-r.now, clockSlack),
+		AtLeast: r.need(q)}
+	if k := &q.class.Class; k.Consistency == Bounded && m != q.group.primary() && r.cfg.Checks == ChecksOff {
+		act.Before = m.pos + k.Bound // what is known of m does no longer
+	} else if k.Effect == Keyed && q.riskSet {
+		act.Before = q.riskAt + k.KeyWindow // it may wait for a connection
 	}
 	r.do(act)
 }
@@ -676,11 +682,8 @@
 	m.booked = max(0, m.booked-a.cost)
 	r.learnAnswer(m, q, e)
 	r.health(m, a, e)
-	if e.Ended || e.Result == Served {
-		q.ended = true
+	if q.ended = q.ended || e.Ended || e.Result == Served; q.ended {
 		r.callOff(q) // the other copy
-	}
-	if q.ended {
 		r.end(q)
 		return
 	}
@@ -713,7 +716,7 @@
 
 // learnAnswer takes what an answer says of positions, roles and commits.
 func (r *Router) learnAnswer(m *member, q *request, e *Event) {
-	write := q.class.Consistency == Write && e.Result == Served
+	write := q.class.Writes() && (e.Result == Served || e.InDoubt)
 	if s := q.group.sessions; write && e.Stamped && r.cfg.RemembersSessions && q.session != "" {
 		s[q.session] = max(s[q.session], e.Position)
 	}
@@ -788,8 +791,7 @@
 	}
 }
 
-// late tells that the answer to a should long have come: the member has answered what was sent there later,
-// or many are late these days. Later attempts have more patience, as it may be the work that is long.
+// late tells that the answer to a should long have come; later attempts have more patience.
 func (r *Router) late(a *attempt) bool {
 	usual := a.cost * a.m.quick * float64(a.no+1)
 	return (a.passed >= lostPassed || r.lossy > lossyLeast) && float64(r.now-a.sent) > lostTimes*usual
@@ -942,7 +944,7 @@
 	}
 }
 
-// rescue sends what a member sits on elsewhere: as a second copy if that is allowed, else called off first.
+// rescue sends elsewhere what a member sits on: as a second copy if that is allowed, else called off first.
 func (r *Router) rescue(q *request) {
 	a := q.attempts[slices.IndexFunc(q.attempts, func(a *attempt) bool { return !a.done })]
 	late := r.waits == 0 && r.now-a.sent > Time(rescueAt*float64(q.class.Aim))
@@ -983,8 +985,7 @@
 	}
 }
 
-// ask probes a replica for a read that none is known to qualify for, the one that SELF would take, and tells
-// whether to wait for it: askWait at most, and probes that brought nothing of use come at growing gaps.
+// ask probes the replica that SELF would take, where none qualifies, and tells whether to wait for it.
 func (r *Router) ask(q *request, p *member, need Time) bool {
 	if r.now-need < r.reportAge { // no report can tell of it yet
 		return false
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -986,3 +986,77 @@
 		t.Errorf("after late answers of a replica %d of 200 go to another, %d to the primary; want few, 200", a, b)
 	}
 }
+
+// A write whose answer was lost on the way may have committed: its session's reads must see it, while it is out and
+// after it has ended in doubt.
+func TestWriteInDoubtBindsItsSession(t *testing.T) {
+	known := func(c *Config) { c.KnownAfter = 80 * ms }
+	fresh := func(g *rig) { g.tell("q", g.now-10*ms); g.tell("s", g.now-10*ms) }
+	t.Run("out", func(t *testing.T) {
+		g := newRig(t, known, members())
+		g.arrive(1, keyed, time.Second, "u")
+		g.tell("q", g.now-10*ms)
+		g.now += 60 * ms // an answer would come, or count as known, later
+		if got := g.sentTo(g.arrive(2, session, time.Second, "u"), 2); got == "p" {
+			t.Error("a write that is out for less than an answer may take binds nothing")
+		}
+		g.now += 60 * ms
+		if got := g.sentTo(append(g.arrive(3, session, time.Second, "u"), g.run(60*ms)...), 3); got != "p" {
+			t.Errorf("sent to %s, which may lack the write that is out", got)
+		}
+		fresh(g)
+		if got := g.sentTo(g.arrive(4, session, time.Second, "u"), 4); got == "p" {
+			t.Error("a replica known to be young enough may answer")
+		}
+		if got := g.sentTo(g.arrive(5, session, time.Second, "other"), 5); got == "p" {
+			t.Error("another session is not bound")
+		}
+	})
+	for _, end := range []Result{TimedOut, Reset, Cancelled, Errored} {
+		t.Run("ended", func(t *testing.T) {
+			g := newRig(t, func(c *Config) { known(c); c.MaxAttempts = 1 }, members())
+			g.arrive(1, once, time.Second, "u")
+			g.now += 50 * ms
+			g.step(Event{Kind: Outcome, Request: 1, Member: "p", Result: end, InDoubt: true, Stamped: true, Position: g.now})
+			fresh(g)
+			g.now += 5 * ms
+			for _, a := range pick(append(g.arrive(2, session, time.Second, "u"), g.run(60*ms)...), Send, 2) { // none, where p is suspect now
+				if a.Member != "p" {
+					t.Errorf("after outcome %d: sent to %s, which may lack the write", end, a.Member)
+				}
+			}
+			g.now += 20 * ms
+			fresh(g)
+			if got := g.sentTo(g.arrive(3, session, time.Second, "u"), 3); got == "p" {
+				t.Error("replicas that have all that may have committed may answer")
+			}
+		})
+	}
+	t.Run("where answers are never lost", func(t *testing.T) {
+		g := newRig(t, nil, members())
+		g.arrive(1, keyed, time.Second, "u")
+		g.now += 300 * ms
+		if got := g.sentTo(g.arrive(2, session, time.Second, "u"), 2); got == "p" {
+			t.Error("only commits that were told bind")
+		}
+	})
+}
+
+// A repeat of a keyed write must not be written past its window, however long it waits for a connection; and a read
+// names what its answer must hold.
+func TestSendNamesItsBounds(t *testing.T) {
+	g := newRig(t, nil, members())
+	if read := pick(g.arrive(2, fresh, time.Second, ""), Send, 2); len(read) != 1 || read[0].AtLeast != g.now {
+		t.Errorf("read %+v, want at least what was committed at %v", read, g.now)
+	}
+	first := pick(g.arrive(1, keyed, 3*time.Second, "u"), Send, 1)
+	at := g.now
+	if len(first) != 1 || first[0].Before != 0 {
+		t.Fatalf("the first attempt has no window: %+v", first)
+	}
+	g.now += 200 * ms
+	again := pick(append(g.answer(1, 0, "p", Reset, RoleUnknown, 0), g.run(100*ms)...), Send, 1)
+	if len(again) != 1 || again[0].Before != at+time.Second {
+		t.Errorf("repeat %+v, want it written before %v", again, at+time.Second)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -94,6 +94,7 @@
 	Member  string
 	Until   Time // timed out then
 	Before  Time // to be written whole by then, else not at all; 0 = any time
+	atLeast Time // a replica's answer that tells an older position is too old
 	no      int
 	sent    Time
 	done    bool
@@ -143,6 +144,10 @@
 	Fetch()
 }
 
+// KnownAfter is how long after a member wrote an answer to a write its session's reads must see it, though the answer may have been lost:
+// 100 ms by the protocol's page, less a fifth for the way and the clocks.
+const KnownAfter = 80 * time.Millisecond
+
 const deadlineSlack = 5 * time.Millisecond // the module answers before the deadline, the core itself so much after it
 
 // Witness is told what the gateway sees of members and of discovery. Its methods are called on the owner's goroutine,
@@ -405,18 +410,19 @@
 	c.end(q)
 }
 
+// lacks tells that an answer does not hold what the attempt's request must see. Whoever tells the role of a primary stands at the present,
+// unless what must be seen was committed at another process or gateway.
+func (o *Outcome) lacks(a *Attempt) bool {
+	return o.Position < a.Request.AtLeast || o.Position < a.atLeast && o.Role == decide.Replica && !a.Request.writes()
+}
+
 // writes tells whether it is a write, whose commit its session's reads must see.
 func (q *Request) writes() bool { return q.Class != nil && q.Class.Writes() }
 
 // mayHaveRun tells whether some attempt may have had its effect.
 func (q *Request) mayHaveRun() bool {
 	for _, a := range q.attempts {
-		if !a.done {
-			return true
-		}
-		switch a.result {
-		case decide.Full, decide.Unreachable, decide.NotSent, decide.NotHere, decide.Rejected:
-		default:
+		if !a.done || a.result.MayHaveRun() {
 			return true
 		}
 	}
@@ -445,7 +451,7 @@
 		return
 	}
 	q := a.Request
-	if o.Result == decide.Served && !q.begun && q.AtLeast > 0 && o.Stamped && o.Position < q.AtLeast {
+	if o.Result == decide.Served && !q.begun && o.Stamped && o.lacks(a) {
 		// It was primary when it was last heard of, and is a replica now that lacks what this read must see: as good
 		// as a member that turned it away, and it is tried elsewhere.
 		o.Result = decide.NotHere
@@ -468,6 +474,9 @@
 	e := decide.Event{Kind: decide.Outcome, Request: q.id, Member: a.Member, Attempt: a.no, Result: o.Result,
 		Elapsed: c.Now() - a.sent, Ended: q.ended || o.Result == decide.Served, Reused: o.Reused,
 		Role: o.Role, Stamped: o.Stamped, Position: o.Position, Report: o.Report}
+	if q.writes() && o.Result != decide.Served && o.Result.MayHaveRun() { // its answer may be lost: its session's reads count it as committed
+		e.InDoubt, e.Stamped, e.Position = true, true, c.Now()
+	}
 	if !q.begun || q.writes() {
 		e.Ended = e.Ended || q.begun
 		c.events = append(c.events, e)
@@ -475,8 +484,8 @@
 	if o.Stamped {
 		c.watch.learn(a.Member, o.Position)
 	}
-	if c.ledger != nil && o.Result == decide.Served && o.Stamped && q.writes() && q.Session != "" {
-		c.ledger.Commit(q.Group, q.Session, o.Position)
+	if c.ledger != nil && e.Stamped && (o.Result == decide.Served || e.InDoubt) && q.writes() && q.Session != "" {
+		c.ledger.Commit(q.Group, q.Session, e.Position)
 	}
 	switch {
 	case o.Result == decide.Served:
@@ -534,7 +543,7 @@
 		return
 	}
 	now := c.Now()
-	at := &Attempt{Request: q, Member: a.Member, Until: q.Until, Before: a.Before, no: len(q.attempts), sent: now}
+	at := &Attempt{Request: q, Member: a.Member, Until: q.Until, Before: a.Before, atLeast: a.AtLeast, no: len(q.attempts), sent: now}
 	if a.Timeout != 0 {
 		at.Until = min(at.Until, now+a.Timeout)
 	}
@@ -547,6 +556,7 @@
 		return
 	}
 	c.members.Send(at)
+	c.share(at)
 	c.After(at.Until, func() {
 		if !at.done && !q.begun {
 			c.stop(at, decide.TimedOut)
@@ -554,6 +564,18 @@
 	})
 }
 
+// share has the other process of this gateway count what a write that is out may have committed, as the module does here.
+func (c *Core) share(a *Attempt) {
+	if q := a.Request; c.ledger != nil && q.writes() && q.Session != "" {
+		c.After(c.Now()+KnownAfter, func() {
+			if !a.done {
+				c.ledger.Commit(q.Group, q.Session, c.Now())
+				c.share(a)
+			}
+		})
+	}
+}
+
 func (c *Core) stop(a *Attempt, why decide.Result) {
 	a.stopped = true
 	c.members.Stop(a, why)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -137,3 +137,68 @@
 		}
 	})
 }
+
+// TestTooOldAnswer: a replica's answer that lacks what its read must see is none. Only the answer tells that its member
+// was demoted since it was heard of.
+func TestTooOldAnswer(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		o    Outcome
+		want decide.Result
+	}{
+		{"demoted and behind", Outcome{Role: decide.Replica, Stamped: true, Position: 9}, decide.NotHere},
+		{"a replica that holds it", Outcome{Role: decide.Replica, Stamped: true, Position: 10}, decide.Served},
+		{"a primary, its position rounded", Outcome{Role: decide.Primary, Stamped: true, Position: 9}, decide.Served},
+		{"no position told", Outcome{Role: decide.Replica}, decide.Served},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			run(t, func(c *Core, s *script, cl *client, call *payload, q *Request) {
+				s.on[decide.Outcome] = []decide.Action{{Kind: decide.Fail, Request: 1}} // at the latest then
+				s.sent[0].atLeast = 10
+				body := new(payload)
+				tc.o.Body = body
+				c.Done(s.sent[0], tc.o)
+				synctest.Wait()
+				e := s.events[len(s.events)-1]
+				served := len(cl.answers) == 1 && cl.answers[0].Verdict == Served
+				if e.Result != tc.want || served != (tc.want == decide.Served) || (body.released == 0) != served {
+					t.Errorf("event %+v, answers %+v, body released %d times", e, cl.answers, body.released)
+				}
+			})
+		})
+	}
+}
+
+// ledger notes what is shared with another process.
+type ledger struct{ commits []Time }
+
+func (l *ledger) Commit(_ int64, _ string, p Time)     { l.commits = append(l.commits, p) }
+func (l *ledger) Committed(_ int64, _ string) (p Time) { return 0 }
+
+// TestWriteInDoubt: a write that may have run counts as committed by its end, here and at another process; and at the
+// other one also while it is out, as its answer may be lost.
+func TestWriteInDoubt(t *testing.T) {
+	for _, end := range []decide.Result{decide.Reset, decide.TimedOut, decide.Cancelled, decide.Errored, decide.NotSent, decide.Unreachable} {
+		run(t, func(c *Core, s *script, cl *client, call *payload, _ *Request) {
+			l := new(ledger)
+			c.Share(l)
+			q := &Request{Class: &decide.Class{Consistency: decide.Write}, Session: "u", Until: c.Now() + time.Second, Call: call, Client: cl}
+			s.on[decide.Arrive] = []decide.Action{{Kind: decide.Send, Request: 2, Member: "m"}}
+			c.Arrive(q)
+			synctest.Wait()
+			sent := c.Now()
+			time.Sleep(KnownAfter + time.Millisecond)
+			synctest.Wait()
+			if len(l.commits) != 1 || l.commits[0] < sent+KnownAfter {
+				t.Errorf("shared %v while the write is out", l.commits)
+			}
+			c.Done(s.sent[1], Outcome{Result: end})
+			synctest.Wait()
+			e, now := s.events[len(s.events)-1], c.Now()
+			if doubt := end.MayHaveRun(); e.InDoubt != doubt || doubt && (!e.Stamped || e.Position != now || l.commits[len(l.commits)-1] != now) ||
+				!doubt && len(l.commits) != 1 {
+				t.Errorf("outcome %d: event %+v, shared %v", end, e, l.commits)
+			}
+		})
+	}
+}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -134,6 +134,7 @@
 	if c.Decide, err = c.facts.Config(); err != nil {
 		return nil, err
 	}
+	c.Decide.KnownAfter = core.KnownAfter
 	if err := c.Decide.Validate(); err != nil {
 		return nil, err
 	}
