A read that is held needs what its session committed or may have committed meanwhile

A scratch copy that logged sends: the read was held while the write was out, and went to a replica seven seconds behind in the very step in which the write's connection was reset: its token was taken at its arrival, and the write was no longer out. Ruled out: the margin of 80 ms. Change: need looks the session's commits up when it is asked. Test: 'ended while the read is held', seen failing without, 50 times under -race.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -480,7 +480,7 @@
 	case Bounded:
 		return max(q.floor, r.now-q.class.Bound)
 	case Session:
-		return max(q.floor, q.token, r.unheard(q))
+		return max(q.floor, q.token, cmp.Or(q.group.sessions[q.session], never), r.unheard(q)) // told while held
 	case Fresh:
 		return q.arrived
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1032,6 +1032,23 @@
 			}
 		})
 	}
+	t.Run("ended while the read is held", func(t *testing.T) {
+		g := newRig(t, known, members())
+		g.arrive(1, keyed, time.Second, "u")
+		g.now += 100 * ms
+		g.step(Event{Kind: ListChange, Members: []Member{{ID: "p", Zone: "a", State: Draining}}})
+		if got := pick(append(g.arrive(2, session, time.Second, "u"), g.run(20*ms)...), Send, 2); len(got) > 0 {
+			t.Fatalf("sent %v while the write is out", got)
+		}
+		got := g.step(Event{Kind: Outcome, Request: 1, Member: "p", Result: Reset, InDoubt: true, Stamped: true, Position: g.now})
+		if got = pick(append(got, g.run(20*ms)...), Send, 2); len(got) > 0 {
+			t.Errorf("sent %v, which may lack the write", got)
+		}
+		g.tell("q", g.now)
+		if got := g.sentTo(g.got, 2); got != "q" {
+			t.Errorf("sent to %s, want the replica that has it", got)
+		}
+	})
 	t.Run("where answers are never lost", func(t *testing.T) {
 		g := newRig(t, nil, members())
 		g.arrive(1, keyed, time.Second, "u")
