A shutdown right after a change to shorter deadlines still counts with the former ones

Seen by reading with foreign settings in mind: the last call of a shutdown is the longest deadline of the terms in force.

Terms.Longest counts classes that linger, and what requests under the terms before may still have left, over several changes.

--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -32,12 +32,17 @@
 // Terms are what is served at a time. They never change.
 type Terms struct {
 	Names    Names
-	Longest  time.Duration // deadline of any class
+	Longest  time.Duration // the longest deadline that a request taken when they came to hold, or later, may have
 	ComeBack time.Duration // told to those refused for want of room, 0 = nothing
 	classes  map[string]Class
 	tenants  map[string]int
+	longest  time.Duration // deadline of any class served, those that linger among them
+	before   former
 }
 
+// former is what requests that were taken under earlier terms may still need.
+type former struct{ longest, until time.Duration }
+
 // Book holds the terms in force. It is safe for concurrent use.
 type Book struct{ now atomic.Pointer[Terms] }
 
@@ -102,8 +107,16 @@
 			t.Names.Classes = append(t.Names.Classes, k.Name)
 		}
 		t.classes[k.Name] = Class{Class: k, Place: place}
-		t.Longest = max(t.Longest, k.Deadline)
 	}
+	for _, k := range t.classes {
+		t.longest = max(t.longest, k.Deadline)
+	}
+	// Requests that are under way keep their deadlines: a shutdown right after a change to shorter ones must still answer
+	// them. What they needed is counted until the next change: a shutdown ends sooner where nothing is open.
+	if t.before = (former{was.longest, now + was.longest}); now < was.before.until {
+		t.before = former{max(t.before.longest, was.before.longest), max(t.before.until, was.before.until)}
+	}
+	t.Longest = max(t.longest, t.before.longest)
 	own.Tenants = nil
 	at := map[string]int{}
 	for i, name := range was.Names.Customers {
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -81,3 +81,45 @@
 		t.Errorf("%d names more: %v", NamesMost, err)
 	}
 }
+
+// TestLongest: requests taken under terms that have changed since may be open as long as those allowed, and the last call of a
+// shutdown counts on it: a shorter deadline, a class that left and two changes in a row don't cut them off.
+func TestLongest(t *testing.T) {
+	of := func(long time.Duration, names ...string) *decide.Config {
+		c := new(decide.Config)
+		for i, name := range names {
+			c.Classes = append(c.Classes, decide.Class{Name: name, Deadline: long >> i})
+		}
+		return c
+	}
+	const long, short = 8 * time.Second, 250 * time.Millisecond
+	for name, steps := range map[string][]struct {
+		at   time.Duration
+		conf *decide.Config
+		want time.Duration
+	}{
+		"longer":            {{0, of(short, "a"), short}, {1, of(long, "a"), long}},
+		"shorter":           {{0, of(long, "a"), long}, {1, of(short, "a"), long}, {long, of(short, "a"), long}, {long + short + 1, of(short, "a"), short}},
+		"shorter, twice":    {{0, of(long, "a"), long}, {1, of(short, "a"), long}, {2, of(short/2, "a"), long}, {long + 1, of(short/2, "a"), short / 2}},
+		"left":              {{0, of(long, "a"), long}, {1, of(short, "b"), long}, {Linger, of(short, "b"), long}},
+		"left long ago":     {{0, of(long, "a"), long}, {1, of(short, "b"), long}, {Linger + 1, of(short, "b"), long}, {Linger + long + 1, of(short, "b"), short}},
+		"the shortest left": {{0, of(long, "a", "b"), long}, {1, of(long, "a"), long}},
+	} {
+		b, err := NewBook(steps[0].conf)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, s := range steps {
+			if i > 0 {
+				next, _, err := b.Next(s.conf, s.at)
+				if err != nil {
+					t.Fatal(err)
+				}
+				b.Turn(next)
+			}
+			if got := b.Now().Longest; got != s.want {
+				t.Errorf("%s, step %d: the longest is %v, want %v", name, i, got, s.want)
+			}
+		}
+	}
+}
