--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -84,7 +84,8 @@
 	delete(c.open, id)
 }
 
-// MaxWait is the longest that any client is taken to wait.
+// MaxWait is the longest that any client is taken to wait. No page says so: a class's deadline, from the settings, bounds each request
+// anyway, and one above a minute is cut to it here.
 const MaxWait = time.Minute
 
 // LimitMost is the most items of a page.
--- a/internal/often/often.go
+++ b/internal/often/often.go
@@ -9,6 +9,7 @@
 	"time"
 )
 
+// every is the least span between two lines of a kind: chosen for those who read the log, nothing in service depends on it.
 const every = time.Second
 
 // Line is one kind of log line. It is written at most once a second, and says
--- a/internal/opsdoor/opsdoor.go
+++ b/internal/opsdoor/opsdoor.go
@@ -27,6 +27,7 @@
 	"reachwind/internal/suspend"
 )
 
+// Chosen for operators' calls, which are short, on links of any kind; no request and no setting is in them.
 const (
 	callMost   = 8 << 10                // bytes of a whole call
 	idMost     = 256                    // bytes of a db machine's id
--- a/internal/record/roster.go
+++ b/internal/record/roster.go
@@ -6,7 +6,7 @@
 	"reachwind/decide"
 )
 
-// rosterMost bounds the members that are followed; changes of others are not told.
+// rosterMost bounds the members that are followed, as many as the module keeps; changes of others are not told.
 const rosterMost = 1024
 
 // Roster follows what lists say of members and tells what changed: draining,
--- a/internal/settings/shape.go
+++ b/internal/settings/shape.go
@@ -47,6 +47,7 @@
 // FileMost bounds the length of a file, in bytes.
 const FileMost = 4 << 20
 
+// Bounds beyond which a figure is taken for a slip of the pen, far above those of any deployment.
 const (
 	dayUs     = int64(24 * 3600 * 1e6)
 	countMost = 1 << 20
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -13,7 +13,7 @@
 
 const (
 	// Linger is how long a class that the settings no longer hold is served on, as it was: requests that name it
-	// may be on their way from clients that know no better.
+	// may be on their way from clients that know no better. The operators' page on reloads promises it.
 	Linger = 1200 * time.Millisecond
 	// NamesMost bounds the names that a process gives places to, of classes and of customers each.
 	NamesMost = 1024
