Before the last call all that was taken is answered, and the last call counts from SIGTERM

A request that comes 0.6 s after SIGTERM with 3 s to wait has its time past the process's end (longest deadline, 3 s at most, + 0.6 s): the process logged 'stopped with connections open' and ended with it. Ruled out: the module, which answers each request at its own deadline; the front, which writes an answer as soon as it has one. At fault: windDown, which ended without any word to the core, and counted from a line after the fleet's permit rather than from SIGTERM.

Core.EndBy caps the time of all requests, of those to come as the module is told; gateway calls it with longest + 0.35 s from SIGTERM, which leaves 0.25 s to write and close. What is then open is refused, or failed where it may have run. The core's own guard on deadlines no longer fires before the module has seen a request that came too late.

TestEndBy fails without the cap and without the change of the guard.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -66,7 +66,7 @@
 }
 
 // Request is one client request. The front fills in the first fields, and
-// leaves them alone once it has handed the request over.
+// leaves them alone once it has handed the request over; the core may shorten Until.
 type Request struct {
 	Class         *decide.Class // as it was when the request was taken; the settings may change
 	Place, Tenant int           // places of the names of its class and customer; Tenant -1 = none
@@ -185,6 +185,7 @@
 	sink     atomic.Pointer[record.Sink]
 	requests map[uint64]*Request
 	lastID   uint64
+	endBy    Time // all requests have their answer by then, 0 = the process does not end
 	timers   timers
 	events   []decide.Event
 	actions  []decide.Action
@@ -226,6 +227,34 @@
 // Arrive hands over a request. Its client gets exactly one answer, unless Gone is called first.
 func (c *Core) Arrive(q *Request) { c.Post(func() { c.arrive(q) }) }
 
+// EndBy has every request answered by t, however long its client would wait: the process ends soon after. Those that
+// come from now on have no longer, which the module knows of; what is still open then is refused, or failed where an
+// attempt may have had its effect. The earliest t holds.
+func (c *Core) EndBy(t Time) {
+	c.Post(func() {
+		if c.endBy > 0 && c.endBy <= t {
+			return
+		}
+		c.endBy = t
+		c.After(t, c.endAll)
+	})
+}
+
+// endAll gives all open requests their answer, but those whose answer is being passed on.
+func (c *Core) endAll() {
+	for _, q := range c.requests { // in any order: each stands for itself
+		if q.ended || q.begun {
+			continue
+		}
+		a := Answer{Verdict: Refused}
+		if !q.mayRefuse() {
+			a = Answer{Verdict: Failed, MayHaveRun: true}
+		}
+		c.events = append(c.events, decide.Event{Kind: decide.ClientGone, Request: q.id})
+		c.finish(q, a, record.Deadline)
+	}
+}
+
 // Gone tells that the client has left.
 func (c *Core) Gone(q *Request) {
 	c.Post(func() {
@@ -367,6 +396,9 @@
 	c.requests[q.id] = q
 	now := c.Now()
 	q.arrived = now
+	if c.endBy > 0 {
+		q.Until = min(q.Until, c.endBy)
+	}
 	if c.ledger != nil && q.Session != "" && !q.writes() {
 		q.AtLeast = max(q.AtLeast, c.ledger.Committed(q.Group, q.Session))
 	}
@@ -376,7 +408,7 @@
 		e.HasToken, e.TokenAge = true, max(now-q.Written, 0)
 	}
 	c.events = append(c.events, e)
-	c.After(q.Until+deadlineSlack, func() {
+	c.After(max(q.Until, now)+deadlineSlack, func() { // also one that comes too late gets the module's answer
 		if !q.ended && !q.begun { // guards the rule that each taken request gets an answer in time
 			c.log.Warn("deadline passed unanswered", "request", q.id)
 			c.events = append(c.events, decide.Event{Kind: decide.ClientGone, Request: q.id})
@@ -423,6 +455,14 @@
 	return false
 }
 
+// mayRefuse tells whether its client may try again without harm. The module keeps to the same rule.
+func (q *Request) mayRefuse() bool {
+	if k := q.Class; k != nil && (k.Effect == decide.Repeatable || k.Effect == decide.Keyed && k.KeyScope == decide.ScopeAll) {
+		return true
+	}
+	return !q.mayHaveRun()
+}
+
 func (c *Core) end(q *Request) {
 	q.ended = true
 	c.forget(q)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -137,3 +137,60 @@
 		}
 	})
 }
+
+// TestEndBy: when the process ends, each request is answered by then, however long its client would wait: refused where
+// nothing may have run, failed else. One that comes later is the module's, which knows that there is no time left.
+func TestEndBy(t *testing.T) {
+	for name, tc := range map[string]struct {
+		class *decide.Class
+		want  Verdict
+	}{"repeatable": {&decide.Class{}, Refused}, "once": {&decide.Class{Effect: decide.Once}, Failed}, "no class": {nil, Failed},
+		"keyed anywhere": {&decide.Class{Effect: decide.Keyed, KeyScope: decide.ScopeAll}, Refused},
+		"keyed here":     {&decide.Class{Effect: decide.Keyed, KeyScope: decide.ScopeZone}, Failed}} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(c *Core, s *script, cl *client, _ *payload, q *Request) {
+				c.Post(func() { q.Class = tc.class })
+				q.Until += time.Minute
+				by := c.Now() + 50*time.Millisecond
+				c.EndBy(by)
+				c.EndBy(by + time.Minute)
+				next, held := new(client), new(client)
+				look := func(f func()) { // on the owner's goroutine, which also writes
+					c.Post(f)
+					synctest.Wait()
+				}
+				look(func() { clear(s.on) })
+				c.Arrive(&Request{Class: tc.class, Until: by + time.Minute, Call: new(payload), Client: held})
+				time.Sleep(49 * time.Millisecond)
+				look(func() {
+					if n := len(cl.answers) + len(held.answers); n > 0 {
+						t.Errorf("%d answers before their time", n)
+					}
+					if e := s.events[len(s.events)-1]; e.Kind != decide.Arrive || e.Remaining > 50*time.Millisecond {
+						t.Errorf("the module was told %+v", e)
+					}
+				})
+				time.Sleep(2 * deadlineSlack)
+				look(func() {
+					if len(cl.answers) != 1 || cl.answers[0].Verdict != tc.want || len(held.answers) != 1 || held.answers[0].Verdict != Refused {
+						t.Errorf("answers %+v, one not sent %+v", cl.answers, held.answers)
+					}
+					s.on[decide.Arrive] = []decide.Action{{Kind: decide.Refuse, Request: 3}}
+				})
+				c.Arrive(&Request{Until: by + time.Minute, Call: new(payload), Client: next})
+				synctest.Wait()
+				look(func() {
+					if e := s.events[len(s.events)-1]; len(next.answers) != 1 || next.answers[0].Verdict != Refused || e.Kind != decide.Arrive || e.Remaining > 0 {
+						t.Errorf("one that came later: answers %+v, last event %+v", next.answers, e)
+					}
+				})
+				c.Done(s.sent[0], Outcome{Result: decide.TimedOut})
+				look(func() {
+					if len(c.requests) != 0 || len(cl.answers) != 1 {
+						t.Errorf("%d requests kept, %d answers", len(c.requests), len(cl.answers))
+					}
+				})
+			})
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,11 +45,12 @@
 	freeMemory    = 512 << 20
 	partsMost     = 2 * time.Second        // what other parts may take to end, after the last client has
 	acceptAfter   = 500 * time.Millisecond // clients keep coming for 0.4 s after SIGTERM
-	lastMoment    = 600 * time.Millisecond // past the longest deadline; SIGKILL may come 0.1 s later
+	answerMoment  = 350 * time.Millisecond // past the longest deadline: what was taken has its answer by then,
+	lastMoment    = 600 * time.Millisecond // and the process ends by then; SIGKILL may come 0.1 s later
 	connectUsual  = 250 * time.Millisecond
 	idleUsual     = 15 * time.Second
 	graceUsual    = 250 * time.Millisecond
-	longestMost   = 3 * time.Second
+	longestMost   = 3 * time.Second // which the platform takes the longest deadline for where it is longer
 	startWait     = 2500 * time.Millisecond
 	writeWait     = 5 * time.Second
 	refuseWait    = time.Second
@@ -124,6 +125,7 @@
 	line   *succession          // nil: no other process takes this one's place
 	most   int                  // client connections
 	door   atomic.Pointer[door] // nil: not serving yet
+	came   func() time.Time     // when SIGTERM came, once it has
 }
 
 // Sizes are the lengths of the tables that peers and time could grow; docs/design/fleet.md has their bounds.
@@ -189,10 +191,12 @@
 
 // Run serves listener until term ends.
 func Run(term context.Context, hup <-chan os.Signal, c *Config, listener net.Listener, o Options) error {
+	came := noticed(term) // it may come while the gateway is built
 	g, err := build(c, o)
 	if err != nil {
 		return err
 	}
+	g.came = came
 	return g.run(term, hup, listener)
 }
 
@@ -291,6 +295,9 @@
 // run serves listener until term ends, then winds down.
 func (g *running) run(term context.Context, hup <-chan os.Signal, listener net.Listener) error {
 	c, log := g.c, g.o.Log
+	if g.came == nil {
+		g.came = noticed(term)
+	}
 	if g.fleet != nil {
 		d := newDoor(listener)
 		g.door.Store(d)
@@ -326,29 +333,32 @@
 		return fmt.Errorf("accept: %w", err)
 	case <-term.Done():
 	}
+	plan := planOf(g.came(), c.terms.Now().Longest)
+	g.owner.EndBy(g.owner.Now() + time.Until(plan.answer))
 	g.ops.leave()
-	accept := acceptAfter
 	if g.line.succeeded() { // who comes from now on waits for the other on the socket that both hold
-		accept = 0
+		plan.accept = plan.came
 	}
 	if g.fleet != nil { // asks for a permit, and waits for it no longer than configured
-		accept = max(0, accept-g.fleet.Leave(context.Background()))
+		wait, stop := context.WithDeadline(context.Background(), plan.answer)
+		g.fleet.Leave(wait)
+		stop()
 	}
 	drained := make(chan struct{})
 	go func() {
-		g.drain(lastCall(c.terms.Now().Longest))
+		g.drain(plan.last)
 		close(drained)
 	}()
-	err := windDown(c, g.front, listener, accept, failed, log)
+	windDown(plan, g.front, listener, failed, log)
 	<-drained
 	g.stop()
 	g.line.stop()
-	return err
+	return nil
 }
 
-// drain has all fronts of the parts answer what they took, within so long.
-func (g *running) drain(within time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), within)
+// drain has all fronts of the parts answer what they took, until then at the latest.
+func (g *running) drain(until time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
 	var done sync.WaitGroup
 	for _, p := range g.parts {
@@ -374,13 +384,28 @@
 	}
 }
 
+// plan says when what happens in a graceful shutdown. All of it counts from SIGTERM, as the platform counts.
+type plan struct {
+	came   time.Time // SIGTERM
+	accept time.Time // connections are accepted until then: clients may still be sent here
+	answer time.Time // what was taken has its answer by then
+	last   time.Time // the process ends
+}
+
+// planOf plans for a SIGTERM that came then, longest being the longest deadline.
+func planOf(came time.Time, longest time.Duration) plan {
+	last := lastCall(longest)
+	return plan{came: came, accept: came.Add(acceptAfter), answer: came.Add(last - lastMoment + answerMoment), last: came.Add(last)}
+}
+
 // windDown keeps accepting while clients may still be sent here, then answers
 // what was taken and ends when all connections are gone, at the latest before
 // the platform would end it.
-func windDown(c *Config, front *pgfront.Server, listener net.Listener, accept time.Duration, served <-chan error, log *slog.Logger) error {
-	log.Info("stopping", "accept_for", accept)
-	late := time.After(lastCall(c.terms.Now().Longest))
-	time.Sleep(accept)
+func windDown(p plan, front *pgfront.Server, listener net.Listener, served <-chan error, log *slog.Logger) {
+	log.Info("stopping", "accept_for", time.Until(p.accept).Round(time.Millisecond))
+	late := time.NewTimer(time.Until(p.last))
+	defer late.Stop()
+	time.Sleep(time.Until(p.accept))
 	_ = listener.Close()
 	done := make(chan struct{})
 	go func() {
@@ -391,10 +416,9 @@
 	select {
 	case <-done:
 		log.Info("stopped")
-	case <-late:
-		log.Warn("stopped with connections open")
+	case <-late.C:
+		log.Warn("stopped with connections open", "open", front.Open())
 	}
-	return nil
 }
 
 // lastCall is how long after SIGTERM the gateway may still run: SIGKILL follows
@@ -402,3 +426,10 @@
 func lastCall(longest time.Duration) time.Duration {
 	return min(longest, longestMost) + lastMoment
 }
+
+// noticed returns a function that tells when ctx ended, counted from its end also where nobody looked yet.
+func noticed(ctx context.Context) func() time.Time {
+	at := make(chan time.Time, 1)
+	context.AfterFunc(ctx, func() { at <- time.Now() })
+	return sync.OnceValue(func() time.Time { return <-at })
+}
