Every close of a client's connection lingers: half-close, read on within bounds, then close

A connection was judged quiet (a peek into the socket) and then closed; bytes that came in between made the close a reset, which takes what the client has not read along. The same held for the end after a protocol error, too slow a client, a refusal without room, a connection passed on without room, and an answer cut short. Ruled out: writes held back by the system (net's sockets have TCP_NODELAY, FileConn's too).

wake.Linger: half-close, then read and throw away until the client closes, for RefuseWait and 1 MiB at the most. What comes after the half-close is never sent on. Connections that linger have what is left of Max + Spare; the one that has lingered longest goes when another comes. Who can't even be refused any more is told 53300 unread. A connection passed on, and one whose client has gone, is closed at once, as before. An adopted one is served also by a server that ends, when a command lies in it. In the last moments (Server.LastCall) half a command is not waited for, and its client sees the end. Quiesce(false) no longer undoes a Shutdown. A read limit's stop called twice counted two reads.

--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"strconv"
+	"syscall"
 	"time"
 
 	"reachwind/decide"
@@ -24,6 +25,7 @@
 	request *core.Request
 	answer  core.Answer
 	stop    bool // close once idle
+	last    bool // and do not wait for the rest of a message
 	expire  int  // the time for this read is up
 	passed  bool // the answer has passed through; tail is what is left of it, nil: it is not whole
 	tail    []byte
@@ -36,6 +38,7 @@
 	refuse   bool // too many connections: say so and close
 	reads    int  // counts reads with a time limit; odd while one is on
 	stopping bool
+	last     bool // the process ends very soon: what is whole is answered, half a message is not waited for
 	skipping bool // an extended query was refused: skip to its Sync
 	answered []message
 	out      []byte        // small answers are put together here
@@ -55,6 +58,7 @@
 	errEnd      = errors.New("end of connection")
 	errTooSlow  = errors.New("message took too long to come")
 	errSevered  = errors.New("stopping")
+	errPassed   = errors.New("passed on")
 	errProtocol = errors.New("protocol violation")
 	errCut      = errors.New("answer cut short")
 	errInUse    = errors.New("a request with this id is in work")
@@ -86,19 +90,30 @@
 	for err == nil {
 		err = c.next()
 	}
-	switch {
-	case errors.Is(err, pgwire.ErrTooLong), errors.Is(err, errProtocol):
-		c.s.broken.Info(c.s.log, "client broke the protocol", "err", err)
-		c.fatal(pgwire.ProtocolViolation, err.Error(), "")
-	case errors.Is(err, errTooSlow): // it sends nothing, so nothing can cross the word
+	if errors.Is(err, pgwire.ErrTooLong) || errors.Is(err, errProtocol) || errors.Is(err, errTooSlow) {
 		c.s.broken.Info(c.s.log, "client broke the protocol", "err", err)
-		_ = c.write(pgwire.AppendError(c.out[:0], "FATAL", pgwire.ProtocolViolation, err.Error(), ""))
+		_ = c.fatal(pgwire.ProtocolViolation, err.Error(), "")
 	}
-	for _, m := range append(c.answered, c.End()...) {
+	for _, m := range append(c.answered, c.Shut()...) {
 		if m.answer.Body != nil {
 			m.answer.Body.Release()
 		}
 	}
+	if errors.Is(err, errPassed) || hasLeft(err) {
+		_ = c.Conn.Close()
+		return
+	}
+	c.s.linger(c)
+}
+
+// hasLeft tells by what ended a connection that its client has closed it: nobody reads what a close could take along.
+func hasLeft(err error) bool {
+	for _, e := range []error{errGone, io.EOF, io.ErrUnexpectedEOF, net.ErrClosed, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
 }
 
 // woken looks into the mailbox.
@@ -109,12 +124,20 @@
 			c.answered = append(c.answered, m)
 		case m.stop:
 			c.stopping = true
+			if m.last && !c.last {
+				c.last = true
+				c.hurry()
+			}
 		case m.expire == c.reads:
 			left := min(c.wait-c.Silent(), time.Until(c.until))
-			if left <= 0 {
+			switch {
+			case left > 0:
+				c.look(left)
+			case c.last:
+				return errSevered
+			default:
 				return errTooSlow
 			}
-			c.look(left)
 		}
 	}
 	return nil
@@ -126,9 +149,12 @@
 	c.reads++
 	c.wait, c.until = wait, time.Now().Add(most)
 	c.look(wait)
+	read := c.reads
 	return func() {
-		c.timer.Stop()
-		c.reads++
+		if c.reads == read { // it may be called again
+			c.timer.Stop()
+			c.reads++
+		}
 	}
 }
 
@@ -139,7 +165,24 @@
 }
 
 // limitMessage limits the read of a message that has begun: its client may pause for the time to start, four times that in all.
-func (c *conn) limitMessage() (stop func()) { return c.limit(c.s.conf.StartWait, 4*c.s.conf.StartWait) }
+func (c *conn) limitMessage() (stop func()) {
+	wait := c.s.conf.StartWait
+	if c.last {
+		wait = min(wait, lastWait)
+	}
+	return c.limit(wait, 4*c.s.conf.StartWait)
+}
+
+const lastWait = 10 * time.Millisecond // a message that has begun may pause so long when the process ends
+
+// hurry shortens the limit of the read that is on, if it has one.
+func (c *conn) hurry() {
+	if c.reads%2 == 1 && c.wait > lastWait {
+		c.timer.Stop()
+		c.wait = lastWait
+		c.look(lastWait)
+	}
+}
 
 // idle is woken, for when nothing of a message has come: a stopping connection
 // ends there. A command may wait in the socket, unseen for the deadline that
@@ -149,18 +192,24 @@
 	if err := c.woken(); err != nil {
 		return err
 	}
-	if c.stopping && c.parts(true) {
+	return c.parts(true)
+}
+
+// parts tells whether a stopping connection can be let go here: errPassed if another process has taken it over, with
+// whatever comes on it; errSevered if nothing has come. What comes after that look is not served: its client finds
+// the connection ended and asks again. Nil: it is served on.
+func (c *conn) parts(began bool) error {
+	switch {
+	case !c.stopping:
+		return nil
+	case c.R.Buffered() == 0 && c.s.pass(c.Conn.Conn, began):
+		return errPassed
+	case c.Quiet():
 		return errSevered
 	}
 	return nil
 }
 
-// parts tells whether a stopping connection, of which nothing is in the reader, can be let go here: another process
-// has taken it over, with whatever comes on it, or nothing has come.
-func (c *conn) parts(began bool) bool {
-	return c.R.Buffered() == 0 && c.s.pass(c.Conn.Conn, began) || c.Quiet()
-}
-
 // startup reads the startup message and welcomes the client.
 func (c *conn) startup() error {
 	wait := time.Until(c.due)
@@ -169,10 +218,10 @@
 	}
 	stop := c.limit(wait, wait)
 	woken := func() error {
-		if err := c.woken(); err != nil || !c.stopping || !c.parts(false) {
+		if err := c.woken(); err != nil {
 			return err
 		}
-		return errSevered
+		return c.parts(false)
 	}
 	_, err := c.Peek(1, woken)
 	stop()
@@ -214,7 +263,9 @@
 		break
 	}
 	if c.refuse {
-		c.fatal(pgwire.TooManyConnections, "too many connections", c.comeBack())
+		if err := c.fatal(pgwire.TooManyConnections, "too many connections", c.comeBack()); err != nil {
+			return err
+		}
 		return errEnd
 	}
 	out := pgwire.Append(c.out[:0], 'R', "\x00\x00\x00\x00")
@@ -230,8 +281,8 @@
 
 // next reads one message and answers it.
 func (c *conn) next() error {
-	if c.stopping && c.parts(true) {
-		return errSevered
+	if err := c.parts(true); err != nil {
+		return err
 	}
 	c.s.idle(c)
 	stop := func() {}
@@ -527,15 +578,7 @@
 	return err
 }
 
-// fatal says why the connection ends, and reads on a little so that the word
-// is not lost to a reset for what the client has sent meanwhile.
-func (c *conn) fatal(code, text, detail string) {
-	if c.write(pgwire.AppendError(c.out[:0], "FATAL", code, text, detail)) != nil {
-		return
-	}
-	if t, ok := c.Conn.Conn.(interface{ CloseWrite() error }); ok {
-		_ = t.CloseWrite()
-		_ = c.SetReadDeadline(time.Now().Add(c.s.conf.RefuseWait))
-		_, _ = io.CopyN(io.Discard, c.Conn.Conn, 1<<20)
-	}
+// fatal says why the connection ends.
+func (c *conn) fatal(code, text, detail string) error {
+	return c.write(pgwire.AppendError(c.out[:0], "FATAL", code, text, detail))
 }
--- a/internal/pgfront/server.go
+++ b/internal/pgfront/server.go
@@ -18,17 +18,18 @@
 	"reachwind/internal/pgwire"
 	"reachwind/internal/record"
 	"reachwind/internal/terms"
+	"reachwind/internal/wake"
 )
 
 // Config holds what the front is told.
 type Config struct {
 	Terms      *terms.Book
 	Max        int           // client connections; for more, idle ones are ended
-	Spare      int           // connections above Max, half for those being ended, half for those being refused
+	Spare      int           // connections above Max, half for those being ended, half for those being refused; those that linger have what is left
 	Keep       int           // buffers left to the members when statements take the rest
 	StartWait  time.Duration // the startup and the first command must begin by then; no message may pause for longer
 	WriteWait  time.Duration // an answer must have been taken by then
-	RefuseWait time.Duration // how long a refused connection may linger
+	RefuseWait time.Duration // how long a connection may linger once its last word is written, or wait to be refused
 	IdleMost   time.Duration // a connection idle for longer is ended,
 	IdleKeep   int           // and the longest idle where so many are
 	Pass       Pass          // nil: no other process takes connections over
@@ -59,12 +60,15 @@
 	mu       sync.Mutex
 	conns    map[*conn]bool
 	refusing int
-	most     int // conf.Max, or what Limit said
+	lingered []net.Conn // ended but for what their clients may still send, longest first
+	most     int        // conf.Max, or what Limit said
 	closing  bool
-	passing  bool // closing for good
-	done     sync.WaitGroup
+	passing  bool // closing for good,
+	last     bool // and in its last moments
+	working  int  // goroutines of connections
+	ended    sync.Cond
 
-	refused, closed, broken, full often.Line
+	refused, closed, broken, full, short often.Line
 }
 
 // silentLeast is how long a connection that has sent nothing is left alone while others are idle: clients send
@@ -78,6 +82,7 @@
 // New returns a server that hands its requests to c.
 func New(c Core, conf Config, bufs *pgwire.Pool, log *slog.Logger) *Server {
 	s := &Server{core: c, log: log, conf: conf, bufs: bufs, conns: map[*conn]bool{}, most: conf.Max}
+	s.ended.L = &s.mu
 	if s.conf.Claims == nil {
 		s.conf.Claims = call.NewClaims()
 	}
@@ -128,13 +133,85 @@
 		c.refuse = true
 		s.refused.Warn(s.log, "client refused: too many connections", "open", len(s.conns))
 	default:
-		s.closed.Warn(s.log, "client closed: too many connections", "open", len(s.conns))
-		_ = nc.Close()
+		s.turnAway(c, false)
 		return
 	}
+	s.evict()
 	s.serve(c, false)
 }
 
+// turnAway ends a connection that there is no room for. One whose startup is not over is told so without having been
+// read: a client that hears nothing at all may take its request for lost. The caller holds the lock.
+func (s *Server) turnAway(c *conn, began bool) {
+	s.closed.Warn(s.log, "client closed: too many connections", "open", len(s.conns))
+	if !s.evict() {
+		_ = c.Conn.Close()
+		return
+	}
+	s.lingered = append(s.lingered, c.Conn.Conn)
+	s.start(func() {
+		if !began {
+			_ = c.fatal(pgwire.TooManyConnections, "too many connections", c.comeBack())
+		}
+		s.lingers(c)
+	})
+}
+
+// evict makes room for one connection more, if there is none, by closing the one that has lingered longest. It tells
+// whether there is room. The caller holds the lock.
+func (s *Server) evict() bool {
+	if len(s.conns)+s.refusing+len(s.lingered) < s.most+s.conf.Spare {
+		return true
+	}
+	if len(s.lingered) == 0 {
+		return false
+	}
+	s.short.Info(s.log, "client closed before it had ended: too many connections", "lingering", len(s.lingered))
+	_ = s.lingered[0].Close()
+	s.lingered = s.lingered[1:]
+	return true
+}
+
+// linger is the end of a connection whose client is still there. It counts no longer as one of the clients'.
+func (s *Server) linger(c *conn) {
+	s.mu.Lock()
+	s.drop(c)
+	s.lingered = append(s.lingered, c.Conn.Conn)
+	s.mu.Unlock()
+	s.lingers(c)
+}
+
+// lingers closes a connection that is among the lingered.
+func (s *Server) lingers(c *conn) {
+	wake.Linger(c.Conn.Conn, time.Now().Add(s.conf.RefuseWait), lingerMost)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lingered = slices.DeleteFunc(s.lingered, func(nc net.Conn) bool { return nc == c.Conn.Conn })
+}
+
+const lingerMost = 1 << 20 // bytes that are read of a client whose connection has ended: some of its largest requests
+
+// drop has a connection count no longer. The caller holds the lock.
+func (s *Server) drop(c *conn) {
+	delete(s.conns, c)
+	if c.refuse {
+		c.refuse = false
+		s.refusing--
+	}
+}
+
+// start runs f in the background; Shutdown waits for it. The caller holds the lock.
+func (s *Server) start(f func()) {
+	s.working++
+	go func() {
+		f()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.working--
+		s.ended.Broadcast()
+	}()
+}
+
 // pass gives a connection to another process, if this one ends and there is one.
 func (s *Server) pass(nc net.Conn, began bool) bool {
 	s.mu.Lock()
@@ -149,11 +226,11 @@
 	c := newConn(s, nc)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) >= s.conf.Max+s.conf.Spare || s.closing {
-		s.closed.Warn(s.log, "client closed: too many connections", "open", len(s.conns))
-		_ = nc.Close()
+	if len(s.conns) >= s.conf.Max+s.conf.Spare {
+		s.turnAway(c, began)
 		return
 	}
+	s.evict()
 	if began {
 		c.spoke, c.due = true, time.Time{}
 	}
@@ -166,11 +243,9 @@
 		s.conns[c] = true
 	}
 	if s.closing {
-		c.Leave(message{stop: true})
+		c.Leave(message{stop: true, last: s.last})
 	}
-	s.done.Add(1)
-	go func() {
-		defer s.done.Done()
+	s.start(func() {
 		if began {
 			c.serveFrom(nil)
 		} else {
@@ -178,11 +253,8 @@
 		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		delete(s.conns, c)
-		if c.refuse {
-			s.refusing--
-		}
-	}()
+		s.drop(c)
+	})
 }
 
 // makeRoom ends the connection that has been silent longest without a byte,
@@ -266,19 +338,17 @@
 }
 
 // Quiesce has connections end as they fall idle, what was taken answered, and new ones after one answer; or has the
-// server go on as ever. Unlike Shutdown it can be taken back.
+// server go on as ever. Unlike Shutdown it can be taken back; a Shutdown can't.
 func (s *Server) Quiesce(yes bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closing = yes
+	s.closing = yes || s.passing
 	if yes {
-		for c := range s.conns {
-			c.Leave(message{stop: true})
-		}
+		s.tell(message{stop: true})
 	}
 }
 
-// Open is how many connections are open, those being refused among them.
+// Open is how many connections are open, those being refused among them, those that linger not.
 func (s *Server) Open() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -286,13 +356,29 @@
 }
 
 // Shutdown ends connections as they fall idle, answers what was taken, and
-// returns when none is left.
+// returns when none is left, nor lingers.
 func (s *Server) Shutdown() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.closing, s.passing = true, true
+	s.tell(message{stop: true})
+	for s.working > 0 {
+		s.ended.Wait()
+	}
+}
+
+// LastCall is for the last moments of a Shutdown: commands that are whole are answered, but the rest of one that has
+// begun is not waited for any longer. Whoever sends it then finds the connection ended.
+func (s *Server) LastCall() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last = true
+	s.tell(message{stop: true, last: true})
+}
+
+// tell leaves all connections a message. The caller holds the lock.
+func (s *Server) tell(m message) {
 	for c := range s.conns {
-		c.Leave(message{stop: true})
+		c.Leave(m)
 	}
-	s.mu.Unlock()
-	s.done.Wait()
 }
--- a/internal/wake/wake.go
+++ b/internal/wake/wake.go
@@ -121,17 +121,46 @@
 	return box
 }
 
-// End closes the connection and the mailbox and returns what was left in it.
-func (w *Conn[M]) End() []M {
+// Shut closes the mailbox and returns what was left in it. The connection stays open.
+func (w *Conn[M]) Shut() []M {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.closed = true
 	box := w.box
 	w.box = nil
-	w.mu.Unlock()
+	return box
+}
+
+// End closes the connection and the mailbox and returns what was left in it.
+func (w *Conn[M]) End() []M {
+	box := w.Shut()
 	_ = w.Conn.Close()
 	return box
 }
 
+// Linger is a lingering close. What was written goes out, and the peer is told that no more comes (half-close); what it
+// sends from then on is read and thrown away, as a close over unread bytes would reset the connection, which takes with
+// it what the peer has not yet read. The connection is closed once the peer has closed its side, after so many bytes
+// and at until in any case. Closing it from elsewhere ends the wait.
+func Linger(c net.Conn, until time.Time, most int) {
+	defer func() { _ = c.Close() }()
+	half, ok := c.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	scrap := make([]byte, scrapSize)
+	for most > 0 {
+		_ = c.SetReadDeadline(until) // each time: a message that was left just before the mailbox was shut sets one too
+		n, err := c.Read(scrap)
+		most -= n
+		if err != nil && !(errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(until)) {
+			return
+		}
+	}
+}
+
+const scrapSize = 2 << 10 // bytes read at a time of what is thrown away
+
 // Fill reads len(p) bytes. When woken it calls woken, and ends with its error if it has one.
 func (w *Conn[M]) Fill(p []byte, woken func() error) error {
 	for len(p) > 0 {
