Shutdown: the queue of the closing listener is taken in, half commands are not waited for at the end

Looked through from SIGTERM to exit. At fault: the listener was closed over whoever waited to be accepted, which resets them with what they have sent; on one core Accept may not have come to them. windDown now takes in that queue by the raw socket first (not with a successor on the same socket: it is its), also behind the door of a gateway that knows its peers. 0.4 s past the longest deadline commands that are not whole are no longer waited for, so that nothing is taken that the end would lose.

Right already, now with a test: SIGTERM before serving, SIGHUP and a second SIGTERM during the shutdown, with real signals to a real process whose members hang (TestSignals).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,7 @@
 	partsMost     = 2 * time.Second        // what other parts may take to end, after the last client has
 	acceptAfter   = 500 * time.Millisecond // clients keep coming for 0.4 s after SIGTERM
 	answerMoment  = 350 * time.Millisecond // past the longest deadline: what was taken has its answer by then,
+	wordMoment    = 400 * time.Millisecond // nobody waits for the rest of a command by then,
 	lastMoment    = 600 * time.Millisecond // and the process ends by then; SIGKILL may come 0.1 s later
 	connectUsual  = 250 * time.Millisecond
 	idleUsual     = 15 * time.Second
@@ -389,13 +390,15 @@
 	came   time.Time // SIGTERM
 	accept time.Time // connections are accepted until then: clients may still be sent here
 	answer time.Time // what was taken has its answer by then
+	word   time.Time // and commands that are not whole by then are not waited for
 	last   time.Time // the process ends
 }
 
 // planOf plans for a SIGTERM that came then, longest being the longest deadline.
 func planOf(came time.Time, longest time.Duration) plan {
-	last := lastCall(longest)
-	return plan{came: came, accept: came.Add(acceptAfter), answer: came.Add(last - lastMoment + answerMoment), last: came.Add(last)}
+	longest = min(longest, longestMost)
+	return plan{came: came, accept: came.Add(acceptAfter), answer: came.Add(longest + answerMoment),
+		word: came.Add(longest + wordMoment), last: came.Add(lastCall(longest))}
 }
 
 // windDown keeps accepting while clients may still be sent here, then answers
@@ -405,7 +408,12 @@
 	log.Info("stopping", "accept_for", time.Until(p.accept).Round(time.Millisecond))
 	late := time.NewTimer(time.Until(p.last))
 	defer late.Stop()
+	word := time.AfterFunc(time.Until(p.word), front.LastCall)
+	defer word.Stop()
 	time.Sleep(time.Until(p.accept))
+	if p.accept.After(p.came) { // else who waits there is the successor's
+		takeBacklog(listener, front.Handle, log)
+	}
 	_ = listener.Close()
 	done := make(chan struct{})
 	go func() {
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -9,10 +9,16 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"reachwind/internal/lab/proc"
 	"reachwind/internal/pgwire"
 	"reachwind/internal/standin/cluster"
 	"reachwind/internal/standin/pipenet"
@@ -152,3 +158,174 @@
 	}
 	c.Close()
 }
+
+// TestPlan: everything in a shutdown counts from SIGTERM, has its order, and is over before SIGKILL may come.
+func TestPlan(t *testing.T) {
+	for _, longest := range []time.Duration{time.Millisecond, 100 * time.Millisecond, 3 * time.Second, time.Minute} {
+		came := time.Now().Add(-time.Hour)
+		p := planOf(came, longest)
+		if p.came != came || !p.accept.After(came.Add(400*time.Millisecond)) || !p.word.After(p.answer) || !p.last.After(p.word) ||
+			!p.answer.After(came.Add(min(longest, longestMost))) || !p.last.Before(came.Add(min(longest, longestMost)+700*time.Millisecond)) {
+			t.Errorf("longest %v: %+v", longest, p)
+		}
+	}
+	ctx, end := context.WithCancel(t.Context())
+	at := noticed(ctx)
+	before := time.Now()
+	end()
+	for first := at(); first.Before(before) || at() != first; {
+		t.Fatalf("told to end at %v, noted %v", before, first)
+	}
+}
+
+// unheard is a listener whose Accept finds nobody: the goroutine that accepts has not come to it.
+type unheard struct {
+	*net.TCPListener
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (u *unheard) Accept() (net.Conn, error) {
+	<-u.closed
+	return nil, net.ErrClosed
+}
+
+func (u *unheard) Close() error {
+	u.once.Do(func() { close(u.closed) })
+	return u.TCPListener.Close()
+}
+
+// TestBacklog: who waits to be accepted when the listener closes is answered, also where SIGTERM came before the gateway
+// served, or behind the door of one that knows its peers.
+func TestBacklog(t *testing.T) {
+	c := before(t, cluster.Config{Groups: 1, Replicas: 1})
+	for _, peers := range []bool{false, true} {
+		tcp, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listener := net.Listener(&unheard{TCPListener: tcp.(*net.TCPListener), closed: make(chan struct{})})
+		if peers {
+			listener = newDoor(listener)
+		}
+		var clients []net.Conn
+		for i := range 20 {
+			nc, err := net.Dial("tcp", tcp.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = nc.Close() }()
+			if _, err := nc.Write(append(pgwire.AppendStartup(nil, "app", "shop"), asks(fmt.Sprint("waits-", peers, i), 3*time.Second)...)); err != nil {
+				t.Fatal(err)
+			}
+			clients = append(clients, nc)
+		}
+		term, end := context.WithCancel(t.Context())
+		end()
+		done := make(chan error, 1)
+		go func() {
+			done <- Run(term, nil, gatewayFor(t, c), listener, Options{Version: "test", Log: slog.New(slog.DiscardHandler)})
+		}()
+		for i, nc := range clients {
+			if types, err := heard(nc); err != nil || strings.Count(types, "Z") != 2 {
+				t.Errorf("client %d heard %q, %v", i, types, err)
+			}
+			_ = nc.Close()
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+const childVariable = "REACHWIND_TEST_CONFIG"
+
+// TestChild is no test: it is the gateway's process of tests with real signals.
+func TestChild(t *testing.T) {
+	path := os.Getenv(childVariable)
+	if path == "" {
+		t.Skip("not a child")
+	}
+	conf, err := Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := Serve(conf, Options{Path: path, Version: "test", Log: slog.New(slog.NewTextHandler(os.Stderr, nil))}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestSignals: a gateway's process whose members hang is told to end, told again, and told to reload, which is not to
+// undo anything. Each request that it took, before SIGTERM and after, has a whole answer; a client that rests until the
+// gateway ends it sees the end, no reset; and the process ends by itself, in order.
+func TestSignals(t *testing.T) {
+	c := before(t, cluster.Config{Groups: 1, Replicas: 1})
+	dir := t.TempDir()
+	path := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(path, settingsWith(t, c, "once", 3*time.Second), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	g, err := proc.With(os.Args[0], []string{"-test.run=^TestChild$"}, "msg=serving", []string{childVariable + "=" + path}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer g.Kill()
+	welcome := func() net.Conn {
+		nc, err := net.Dial("tcp", g.Addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := nc.Write(pgwire.AppendStartup(nil, "app", "shop")); err != nil {
+			t.Fatal(err)
+		}
+		for text, b := []byte{}, []byte{0}; !bytes.HasSuffix(text, pgwire.AppendReady(nil)); text = append(text, b...) {
+			if _, err := nc.Read(b); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return nc
+	}
+	for _, m := range c.Members() {
+		m.Hang(true)
+	}
+	var busy, idle []net.Conn
+	send := func(nc net.Conn, id string) {
+		if _, err := nc.Write(asks(id, 3*time.Second)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range 5 {
+		busy, idle = append(busy, welcome()), append(idle, welcome())
+		defer func() { _, _ = busy[i].Close(), idle[i].Close() }()
+		send(busy[i], fmt.Sprint("before-", i))
+	}
+	if err := os.WriteFile(path, settingsWith(t, c, "once", 30*time.Second), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	logged := func(what string) func() bool { return func() bool { return strings.Contains(g.Log(), what) } }
+	g.Signal(syscall.SIGTERM)
+	until(t, "stopping", logged("msg=stopping"))
+	g.Signal(syscall.SIGHUP)
+	until(t, "reloaded", logged("msg=reloaded"))
+	g.Signal(syscall.SIGTERM)
+	for i, nc := range busy {
+		send(nc, fmt.Sprint("after-", i))
+	}
+	for i := range busy {
+		if types, err := heard(idle[i]); err != nil || types != "" {
+			t.Errorf("a client at rest heard %q, %v", types, err)
+		}
+		if types, err := heard(busy[i]); err != nil || types != "EZEZ" {
+			t.Errorf("client %d heard %q, %v; want two answers", i, types, err)
+		}
+		_, _ = busy[i].Close(), idle[i].Close()
+	}
+	select {
+	case <-g.Ended():
+	case <-time.After(20 * time.Second):
+		t.Fatal("the process goes on: ", g.Log())
+	}
+	if !strings.Contains(g.Log(), "msg=stopped\n") {
+		t.Error("not in order: ", g.Log())
+	}
+}
