REST: every close lingers as well, within the limit of connections

net/http closes idle connections, those at a shutdown and those after a bad request at once; bytes that came in between made that a reset, and a refusal over the limit was reset by the request that nobody had read. The close of an admitted connection now half-closes it and reads on in the background (1 s, 1 MiB at most); what is read then is not served. Those that linger count within the limit and give way, longest first; four at a time are refused beyond it.

TestCloseCrossed fails for all 6 reasons with a plain close, TestLingerBounds without giving way. That a read begun in that moment is not served (tracked.Read) was not seen failing by itself: the read's deadline mostly ends it first.

--- a/internal/restfront/edge.go
+++ b/internal/restfront/edge.go
@@ -36,5 +36,5 @@
 
 // Footprint is what the front holds at most: bytes of memory, and descriptors.
 func (c *Config) Footprint() (memory int64, files int) {
-	return int64(c.Max) * (perConn + c.Body), c.Max + 1
+	return int64(c.Max) * (perConn + c.Body), c.Max + refusedMost + 1 // and the listener
 }
--- a/internal/restfront/server.go
+++ b/internal/restfront/server.go
@@ -14,6 +14,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,6 +31,7 @@
 	"reachwind/internal/pgwire"
 	"reachwind/internal/record"
 	"reachwind/internal/terms"
+	"reachwind/internal/wake"
 )
 
 // Config holds what the front is told.
@@ -71,8 +73,13 @@
 	last   atomic.Uint64
 	http   http.Server
 	l      net.Listener
-	open   atomic.Int64
 	done   sync.WaitGroup
+
+	mu       sync.Mutex
+	open     int        // connections, those that linger among them
+	refusing int        // beyond them
+	lingered []net.Conn // ended but for what their clients may still send, longest first
+	ending   sync.WaitGroup
 }
 
 // New returns a server that hands its requests to c. Ids in work are shared with the other fronts by claims.
@@ -136,8 +143,24 @@
 		_ = s.http.Close()
 	}
 	s.done.Wait()
+	ended := make(chan struct{})
+	go func() {
+		s.ending.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
 }
 
+const (
+	lingerWait  = time.Second // for a client whose connection has ended to close it
+	lingerMost  = 1 << 20     // bytes that are read of it meanwhile
+	refusedMost = 4           // connections beyond the limit that are being refused, and linger
+	refusal     = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
 // limited ends connections beyond the limit at once, so that those within it are served.
 type limited struct {
 	net.Listener
@@ -150,27 +173,92 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.s.open.Add(1) > int64(l.s.conf.Max) {
-			l.s.open.Add(-1)
-			_ = c.SetWriteDeadline(time.Now().Add(10 * time.Millisecond))
-			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n")
-			_ = c.Close()
-			l.s.core.Turned(front, record.Refused, record.Buffers)
-			continue
+		if l.s.admit() {
+			return &tracked{Conn: c, s: l.s}, nil
 		}
-		return &tracked{Conn: c, s: l.s}, nil
+		l.s.core.Turned(front, record.Refused, record.Buffers)
+		l.s.refuse(c)
+	}
+}
+
+// admit counts a connection in, if there is room. Those that linger give way, the one that has lingered longest first.
+func (s *Server) admit() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open >= s.conf.Max {
+		if len(s.lingered) == 0 {
+			return false
+		}
+		_ = s.lingered[0].Close()
+		s.lingered = s.lingered[1:]
+		s.open--
+	}
+	s.open++
+	return true
+}
+
+// refuse tells a client that there is no room for it.
+func (s *Server) refuse(c net.Conn) {
+	_ = c.SetWriteDeadline(time.Now().Add(10 * time.Millisecond))
+	_, _ = io.WriteString(c, refusal)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refusing >= refusedMost { // its client may see a reset
+		_ = c.Close()
+		return
 	}
+	s.refusing++
+	s.ending.Add(1)
+	go func() {
+		defer s.ending.Done()
+		wake.Linger(c, time.Now().Add(lingerWait), lingerMost)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.refusing--
+	}()
+}
+
+// linger closes a connection that was admitted, in the background.
+func (s *Server) linger(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lingered = append(s.lingered, c)
+	s.ending.Add(1)
+	go func() {
+		defer s.ending.Done()
+		late := time.AfterFunc(lingerWait, func() { _ = c.Close() }) // net/http may have unset the deadline
+		wake.Linger(c, time.Now().Add(lingerWait), lingerMost)
+		late.Stop()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if i := slices.Index(s.lingered, c); i >= 0 { // else it gave way
+			s.lingered = slices.Delete(s.lingered, i, i+1)
+			s.open--
+		}
+	}()
 }
 
+// tracked is a connection that was admitted. Its close lingers and does not wait; nothing that is read later is served.
 type tracked struct {
 	net.Conn
-	s    *Server
-	once sync.Once
+	s      *Server
+	closed atomic.Bool
+}
+
+func (c *tracked) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return n, err
 }
 
 func (c *tracked) Close() error {
-	c.once.Do(func() { c.s.open.Add(-1) })
-	return c.Conn.Close()
+	if c.closed.CompareAndSwap(false, true) {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // a read that is on ends
+		c.s.linger(c.Conn)
+	}
+	return nil
 }
 
 // client takes the answer to one request.
