No attempt begins, nor ends its write, once its client has gone; what crosses a stop is learnt

Seen by reading, each then forced on real sockets: - a request whose client had left while its attempt waited for a connection or lay with one was still written where the module cancels nothing (writes, sites without cancels), or where the owner had not yet heard: requests are now marked on the front's goroutine and the mark is asked under the lock that bounds the write, right before its first byte; - a stop that came between a connection's end and word of it was lost, and the job began anew: jobs know they are off; - a statement partly taken by its member was finished seconds after its client had left, its time for a draining member or its age bound was over, and so began an attempt then: the write has a deadline that these move; - a stop threw away a whole answer, or a role and a position, that had come and not been read: they are read first; - a write broken off between CommandComplete and its commit was served with no commit known: it counts as made by now. Ruled out: an error of a write taken whole (told as a reset now by count), a job begun anew before its connection is closed.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -63,6 +63,7 @@
 	Body       Payload // Served: what the member answered
 	Position   Time    // Served: the log position that the member told, a write's commit; 0 = none
 	MayHaveRun bool    // Failed: some attempt may have had its effect
+	Cancelled  bool    // Failed: by its client's own word, see Core.Cancel
 }
 
 // Request is one client request. The front fills in the first fields, and
@@ -86,8 +87,14 @@
 	out      int
 	ended    bool
 	begun    bool // its answer is being passed on: no time limit ends it
+
+	over atomic.Bool // no attempt may begin any more; set where that is first seen, on any goroutine
 }
 
+// Over tells that no attempt of the request may begin any more: its client has left or cancelled it, or it has its
+// answer. It may be called from any goroutine; whoever writes an attempt asks right before its first byte.
+func (q *Request) Over() bool { return q.over.Load() }
+
 // Attempt is one try of a request at a member.
 type Attempt struct {
 	Request *Request
@@ -129,7 +136,8 @@
 type Members interface {
 	// Send starts an attempt; exactly one Core.Done must follow.
 	Send(*Attempt)
-	// Stop gives up an attempt; its outcome is why, unless it never was written or has ended.
+	// Stop gives up an attempt; its outcome is why, unless it never was written or has ended. NotSent gives it up only
+	// if it was not yet written whole; else it goes on.
 	Stop(a *Attempt, why decide.Result)
 	// Probe asks a member for its report; one Core.Probed must follow.
 	Probe(member string)
@@ -226,19 +234,45 @@
 // Arrive hands over a request. Its client gets exactly one answer, unless Gone is called first.
 func (c *Core) Arrive(q *Request) { c.Post(func() { c.arrive(q) }) }
 
-// Gone tells that the client has left.
+// Gone tells that the client has left. From the call on no attempt of the request begins, also not one that is on its
+// way to a member; the module hears of it in its turn.
 func (c *Core) Gone(q *Request) {
+	q.over.Store(true)
 	c.Post(func() {
 		if !q.ended {
 			c.events = append(c.events, decide.Event{Kind: decide.ClientGone, Request: q.id})
 			c.end(q)
-			if q.begun { // the module has done with it
-				c.stop(q.attempts[len(q.attempts)-1], decide.Cancelled)
-			}
+			c.leave(q)
 		}
 	})
 }
 
+// Cancel ends a request at its client's word, as Gone does, but the client is still there: unless it has its answer
+// already, that is Failed and Cancelled. It may be called from any goroutine, after Arrive.
+func (c *Core) Cancel(q *Request) {
+	q.over.Store(true)
+	c.Post(func() {
+		if !q.ended {
+			c.events = append(c.events, decide.Event{Kind: decide.ClientGone, Request: q.id})
+			c.finish(q, Answer{Verdict: Failed, MayHaveRun: q.mayHaveRun(), Cancelled: true}, record.Cancelled)
+			c.leave(q)
+		}
+	})
+}
+
+// leave withdraws what a request whose client has gone has out: what is not yet written whole, and an answer that is
+// passing through. All else is the module's to call off.
+func (c *Core) leave(q *Request) {
+	for _, a := range q.attempts {
+		if !a.done {
+			c.members.Stop(a, decide.NotSent)
+		}
+	}
+	if q.begun { // the module has done with it
+		c.stop(q.attempts[len(q.attempts)-1], decide.Cancelled)
+	}
+}
+
 // Begun tells that the answer of an attempt has begun and will be passed on as it comes. The client gets body as its
 // answer, and the attempt is the client's now: its time-out and the client's deadline no longer run. Done follows
 // as ever. Body is released instead if the attempt was given up or the client has left.
@@ -425,6 +459,7 @@
 
 func (c *Core) end(q *Request) {
 	q.ended = true
+	q.over.Store(true)
 	c.forget(q)
 }
 
--- a/internal/pgmember/conn.go
+++ b/internal/pgmember/conn.go
@@ -1,12 +1,14 @@
 package pgmember
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
+	"os"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"syscall"
 	"time"
 
@@ -46,13 +48,17 @@
 // conn is one connection. Its goroutine runs serve; the pool's fields are m and since.
 type conn struct {
 	*wake.Conn[order]
-	p      *Pool
-	m      *member
-	addr   string
-	since  core.Time // idle since
-	sendBy atomic.Int64
-	used   bool // some answer came on it
-	hello  []byte
+	p     *Pool
+	m     *member
+	addr  string
+	since core.Time // idle since
+	used  bool      // some answer came on it
+
+	// What bounds the write of a statement. The owner may change it while the write is on.
+	mu      sync.Mutex
+	sendBy  core.Time // nothing is written after, 0 = no bound
+	writing *job      // whose statement is being written
+	writeBy core.Time // the write's own bound
 }
 
 var (
@@ -65,6 +71,8 @@
 	errNoBuffer = errors.New("out of buffers")
 )
 
+var past = time.Unix(1, 0)
+
 func newConn(p *Pool, m *member) *conn { return &conn{p: p, m: m, addr: m.addr} }
 
 // start connects in the background.
@@ -98,8 +106,52 @@
 // close asks the goroutine to end.
 func (c *conn) close() { c.Leave(order{}) }
 
-// limit sets until when the goroutine may begin to write, 0 = always.
-func (c *conn) limit(t core.Time) { c.sendBy.Store(int64(t)) }
+// limit sets until when a statement may be written on the connection, 0 = always. It holds for one that is being
+// written too.
+func (c *conn) limit(t core.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sendBy = t
+	if c.writing != nil && t != 0 && t < c.writeBy {
+		c.writeBy = t
+		_ = c.SetWriteDeadline(c.p.core.At(t))
+	}
+}
+
+// withdraw has no byte of j's statement written from now on, unless it has been written whole.
+func (c *conn) withdraw(j *job) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writing == j {
+		_ = c.SetWriteDeadline(past)
+	}
+}
+
+// begin tells whether a job may be written, whose decision may be old by now, and bounds its write, which must end by
+// then or never. It is asked right before the write: what ends the job from here on cuts the write short.
+func (c *conn) begin(j *job, until core.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a := j.attempt; a != nil && a.Before != 0 {
+		until = min(until, a.Before-boundMargin)
+	}
+	if c.sendBy != 0 {
+		until = min(until, c.sendBy)
+	}
+	if j.over() || c.p.core.Now() >= until {
+		return false
+	}
+	c.writing, c.writeBy = j, until
+	_ = c.SetWriteDeadline(c.p.core.At(until))
+	return true
+}
+
+// written ends what begin began.
+func (c *conn) written() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = nil
+}
 
 // connect dials and passes the startup, all within the time for connecting.
 func (c *conn) connect(ctx context.Context) (decide.Result, error) {
@@ -179,20 +231,19 @@
 
 // run carries out one job and tells whether the connection may be used again.
 func (c *conn) run(j *job) bool {
-	if !c.may(j) {
-		c.done(j, core.Outcome{Result: decide.NotSent})
-		return true
-	}
 	a := answer{job: j}
 	o := c.exchange(j, &a)
 	switch {
+	case o.Result == decide.NotSent && !a.partly: // no byte of it was written
+		c.done(j, o)
+		return true
 	case a.buf == nil:
 	case o.Result == decide.Served && j.attempt != nil:
 		o.Body = a.buf
 	default:
 		a.buf.Release()
 	}
-	if a.ready && c.R.Buffered() == 0 { // else more came than belongs to the answer
+	if a.ready && !a.drained && c.R.Buffered() == 0 { // else more came than belongs to the answer
 		c.done(j, o)
 		return true
 	}
@@ -203,20 +254,8 @@
 	return false
 }
 
-// may tells whether a job may still be written: the decision may be old by now.
-func (c *conn) may(j *job) bool {
-	now := c.p.core.Now()
-	if by := core.Time(c.sendBy.Load()); by != 0 && now > by {
-		return false
-	}
-	if a := j.attempt; a != nil {
-		return now < a.Until && (a.Before == 0 || now < a.Before-boundMargin)
-	}
-	return true
-}
-
-// exchange writes a job's statement and reads the whole answer.
-func (c *conn) exchange(j *job, a *answer) (o core.Outcome) {
+// write writes a job's statement whole. If it could not, it returns false and the outcome: the member never ran it.
+func (c *conn) write(j *job, a *answer) (core.Outcome, bool) {
 	query, until := net.Buffers{pgwire.Append(nil, 'Q', "SHOW health\x00")}, c.p.core.Now()+c.p.conf.Load().Connect
 	if j.attempt != nil {
 		until = j.attempt.Until
@@ -228,9 +267,33 @@
 			query = pgwire.Form(c, wait)
 		}
 	}
-	_ = c.SetWriteDeadline(c.p.core.At(until))
-	if _, err := query.WriteTo(c.Conn.Conn); err != nil {
-		return core.Outcome{Result: decide.Unreachable}
+	size := int64(0)
+	for _, part := range query {
+		size += int64(len(part))
+	}
+	if c.p.beforeWrite != nil {
+		c.p.beforeWrite(j)
+	}
+	if !c.begin(j, until) {
+		return core.Outcome{Result: decide.NotSent}, false
+	}
+	n, err := query.WriteTo(c.Conn.Conn)
+	c.written()
+	switch {
+	case err == nil || n == size: // whole: whatever becomes of it shows in the read
+		return core.Outcome{}, true
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.p.core.Now() < until: // withdrawn, or not to be written so late
+		a.partly = n > 0
+		return core.Outcome{Result: decide.NotSent}, false
+	}
+	a.partly = true
+	return core.Outcome{Result: decide.Unreachable}, false
+}
+
+// exchange writes a job's statement and reads the whole answer.
+func (c *conn) exchange(j *job, a *answer) (o core.Outcome) {
+	if o, ok := c.write(j, a); !ok {
+		return o
 	}
 	why := decide.Reset
 	err := c.read(a, func() error {
@@ -241,7 +304,7 @@
 			case o.job != j:
 			case o.stop:
 				why = o.why
-				return errStopped
+				return c.drain(a)
 			case o.stall:
 				a.watched = false
 				left := a.patience() - min(c.Silent(), time.Since(a.last))
@@ -277,6 +340,7 @@
 		o.Result = decide.Errored
 	case a.code != "" || a.complete:
 		o.Result = outcomeOf(a)
+		c.guess(a)
 	default:
 		o.Result = why
 		o.Reused = why == decide.Reset && c.used && !a.begun
@@ -289,6 +353,53 @@
 	return o
 }
 
+// drain ends an attempt that was given up. What its member has told by then is still read: the answer may be whole,
+// and a role or a position is worth knowing. The read goes on over that and ends there, without waiting for more.
+func (c *conn) drain(a *answer) error {
+	if a.done != nil { // it is passing through, and its client has gone
+		return errStopped
+	}
+	have, _ := c.R.Peek(c.R.Buffered())
+	rest := append(bytes.Clone(have), waiting(c.Conn.Conn, pgwire.BufSize)...)
+	a.drained = true
+	c.R.Reset(io.MultiReader(bytes.NewReader(rest), stopped{}))
+	return nil
+}
+
+// waiting reads what has come on a socket and was not read, up to about most bytes, without waiting for more.
+func waiting(nc net.Conn, most int) (got []byte) {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	part := make([]byte, readSize)
+	for n := 1; n > 0 && len(got) < most; got = append(got, part[:max(n, 0)]...) {
+		n = 0
+		_ = raw.Control(func(fd uintptr) { n, _, _ = syscall.Recvfrom(int(fd), part, syscall.MSG_DONTWAIT) })
+	}
+	return got
+}
+
+// stopped is the end of what was there when an attempt was given up.
+type stopped struct{}
+
+func (stopped) Read([]byte) (int, error) { return 0, errStopped }
+
+// guess stands in for the commit of a write whose answer broke off after CommandComplete and before it was told, where
+// members tell it: the write is answered, and its session's reads must see it. It was committed by now.
+func (c *conn) guess(a *answer) {
+	if a.job.attempt == nil || !a.complete || a.ready || a.stamped || !c.p.stamps.Load() {
+		return
+	}
+	if k := a.job.attempt.Request.Class; k != nil && k.Writes() {
+		a.stamped, a.position = true, c.p.core.Now()
+	}
+}
+
 // report reads the figures that the settings name.
 func (c *conn) report(r *decide.Report, text []byte) {
 	pgwire.Pairs(text, func(name string, v float64) {
@@ -320,6 +431,8 @@
 type answer struct {
 	buf     *pgwire.Buf // takes RowDescription, DataRow and CommandComplete as they are; nil at the startup
 	job     *job        // that it answers
+	drained bool        // it was given up, and no more is read than had come
+	partly  bool        // its statement was not written whole, but perhaps some of it
 	watched bool        // a stall will be noticed
 	begun   bool        // a byte of it came
 	row     []byte      // the value, within buf
@@ -443,6 +556,9 @@
 
 // pass passes a row on as it comes, and what came before it. From its begin on no other attempt can answer.
 func (c *conn) pass(a *answer, woken func() error) error {
+	if a.drained { // given up, and no more of it will come
+		return errStopped
+	}
 	c.watch(a, pgwire.RowHead)
 	head, err := c.Peek(pgwire.RowHead, woken)
 	if err != nil {
@@ -456,9 +572,12 @@
 	c.p.core.Begun(a.job.attempt, s)
 	w, done := s.Taken()
 	if w == nil {
-		if err := woken(); err != nil { // what it was stopped for
+		if err := woken(); err != nil {
 			return err
 		}
+		if a.drained { // it was stopped
+			return errStopped
+		}
 		return errNotTaken
 	}
 	a.done, a.row = done, head[:0]
@@ -551,6 +670,7 @@
 	case "lsn_ms":
 		if ms, err := strconv.ParseInt(value, 10, 64); err == nil && ms > 0 && ms < 1<<43 {
 			a.stamped, a.position = true, core.Time(ms)*time.Millisecond
+			c.p.stamps.Store(true)
 		}
 	case "health":
 		c.report(&a.report, []byte(value))
--- a/internal/pgmember/pool.go
+++ b/internal/pgmember/pool.go
@@ -48,8 +48,11 @@
 	members map[string]*member
 	open    int // connections, those being made included
 	jobs    map[*core.Attempt]*job
+	stamps  atomic.Bool // some member has told a log position
 
 	spoilt, cut, failing, short often.Line
+
+	beforeWrite func(*job) // a seam for tests: called where a job is about to be written
 }
 
 // member is what the pool knows of one member.
@@ -68,8 +71,12 @@
 	m       *member
 	attempt *core.Attempt // nil for a probe
 	c       *conn         // that carries it, nil while it waits
+	off     atomic.Bool   // stopped: it must not be written any more
 }
 
+// over tells that no byte of the job may be written any more. It may be called from any goroutine.
+func (j *job) over() bool { return j.off.Load() || j.attempt != nil && j.attempt.Request.Over() }
+
 // New returns a pool that reports to c.
 func New(c *core.Core, conf Config, bufs *pgwire.Pool, dial Dialer, log *slog.Logger) *Pool {
 	p := &Pool{core: c, log: log, bufs: bufs, dial: dial, most: conf.Max, keep: conf.Keep,
@@ -185,10 +192,15 @@
 	}
 }
 
+// stop gives up a job. Where its connection has just ended without writing it, the job comes back and is not begun anew.
 func (p *Pool) stop(j *job, why decide.Result) {
+	j.off.Store(true)
 	switch {
 	case j.c != nil:
-		j.c.Leave(order{job: j, stop: true, why: why})
+		j.c.withdraw(j)
+		if why != decide.NotSent {
+			j.c.Leave(order{job: j, stop: true, why: why})
+		}
 	case slices.Contains(j.m.waiting, j): // no byte of it was written
 		p.finish(j, core.Outcome{Result: decide.NotSent})
 	}
@@ -197,7 +209,7 @@
 // start gives a job the connection used last, or has it wait for a new one.
 func (p *Pool) start(j *job) {
 	m := j.m
-	if m.unwanted != 0 {
+	if m.unwanted != 0 || j.over() {
 		p.finish(j, core.Outcome{Result: decide.NotSent})
 		return
 	}
