What is given up in transit is dropped, so that it does not begin beside the next attempt

Seen by reading and forced on real sockets: when an attempt was given up its connection was closed in the ordinary way, and the system went on to deliver the statement to a member that hung or was cut off, seconds later, with the next attempt out or its client gone. The close drops now what was not taken in (SO_LINGER 0), for attempts given up or written in part. TestGivenUpInTransit was seen to fail without it; TestClosedAsPicked, of an idle connection that its member closes as it is picked, holds what was right, and fails with the look before the write taken out.

--- a/internal/pgmember/conn.go
+++ b/internal/pgmember/conn.go
@@ -106,6 +106,14 @@
 // close asks the goroutine to end.
 func (c *conn) close() { c.Leave(order{}) }
 
+// forsake has the close that follows drop what the member's side has not yet taken in. Else the system would still
+// deliver a statement to a member that is cut off or hangs, seconds after its attempt was given up and perhaps made anew.
+func (c *conn) forsake() {
+	if t, ok := c.Conn.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = t.SetLinger(0)
+	}
+}
+
 // limit sets until when a statement may be written on the connection, 0 = always. It holds for one that is being
 // written too.
 func (c *conn) limit(t core.Time) {
@@ -249,6 +257,9 @@
 	}
 	// The connection is closed before the outcome is told: the next attempt of
 	// this request may follow at once, and two must never be out.
+	if a.partly || o.Result == decide.TimedOut || o.Result == decide.Cancelled {
+		c.forsake()
+	}
 	_ = c.Conn.Conn.Close()
 	c.p.core.Post(func() { c.p.finish(j, o) })
 	return false
--- a/internal/pgmember/leave_test.go
+++ b/internal/pgmember/leave_test.go
@@ -93,11 +93,13 @@
 	lines    chan *line    // the gateway's ends, as they are dialled
 	accepted chan net.Conn // the member's ends
 	n        int
+
+	sendBuffer int // of the gateway's ends
 }
 
 func newWires(t *testing.T) *wires {
 	w := &wires{t: t, script: &script{outcomes: map[uint64][]decide.Event{}}, bufs: pgwire.NewPool(40, 20),
-		lines: make(chan *line, 16), accepted: make(chan net.Conn, 16)}
+		lines: make(chan *line, 16), accepted: make(chan net.Conn, 16), sendBuffer: 4096}
 	small := func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
 	}
@@ -121,7 +123,7 @@
 			return nil, err
 		}
 		tc := c.(*net.TCPConn)
-		_ = tc.SetWriteBuffer(4096)
+		_ = tc.SetWriteBuffer(w.sendBuffer)
 		line := &line{TCPConn: tc, woken: make(chan struct{}, 16)}
 		w.lines <- line
 		return line, nil
@@ -518,3 +520,80 @@
 		}
 	}
 }
+
+// TestGivenUpInTransit: a statement that has been written, but not yet taken in by its member, which hangs or is cut off,
+// does not reach it any more once its attempt was told as given up: it would begin then, beside the next one.
+func TestGivenUpInTransit(t *testing.T) {
+	for _, why := range []decide.Result{decide.TimedOut, decide.Cancelled} {
+		w := newWires(t)
+		w.sendBuffer = 1 << 20
+		_, c := w.idle()
+		value := strings.Repeat("x", 120_000)
+		w.ask(writeClass, value)
+		unread(t, c, 1)
+		var conn *conn
+		w.owner(func() { conn = w.pool.members["m"].busy[0] })
+		until(t, func() bool { // its write is over
+			conn.mu.Lock()
+			defer conn.mu.Unlock()
+			return conn.writing == nil
+		})
+		w.owner(func() {
+			for a := range w.pool.jobs {
+				w.pool.Stop(a, why)
+			}
+		})
+		if e := w.outcome(); e.Result != why {
+			t.Errorf("outcome %d, want %d", e.Result, why)
+		}
+		if n, _ := io.Copy(io.Discard, c); n >= int64(len(value)) {
+			t.Errorf("the member got %d bytes in the end", n)
+		}
+	}
+}
+
+// TestClosedAsPicked: an idle connection that its member closes as it is given a request is left, and the request is
+// made on another; it was written on none before. One that breaks once it is written is told as reset, of a used
+// connection, and the module has the say.
+func TestClosedAsPicked(t *testing.T) {
+	w := newWires(t)
+	l, c := w.idle()
+	let := l.hold()
+	_, s := w.ask(writeClass, "")
+	<-l.woken // it has been given the request, and has not looked yet
+	_ = c.(*net.TCPConn).CloseWrite()
+	raw, err := l.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	until(t, func() bool { // the end has come
+		n, got := 0, error(nil)
+		_ = raw.Control(func(fd uintptr) {
+			n, _, got = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		})
+		return n == 0 && got == nil
+	})
+	let()
+	_, second := w.welcome()
+	if n, err := io.Copy(io.Discard, c); n != 0 || err != nil {
+		t.Errorf("%d bytes were written on the connection that was closing, %v", n, err)
+	}
+	statement(t, second)
+	_, _ = second.Write(pgwire.AppendReady(served))
+	if e := w.outcome(); e.Result != decide.Served || e.Reused {
+		t.Errorf("outcome %+v", e)
+	}
+	w.owner(func() {
+		if len(s.answers) != 1 {
+			t.Errorf("%d answers", len(s.answers))
+		}
+	})
+
+	w.ask(writeClass, "")
+	statement(t, second)
+	_ = second.(*net.TCPConn).SetLinger(0)
+	_ = second.Close()
+	if e := w.outcome(); e.Result != decide.Reset || !e.Reused {
+		t.Errorf("outcome %+v, want a reset of a used connection", e)
+	}
+}
