A cancel that crosses the arrival of its request holds for it

Seen: one in some hundred runs of TestCancelGoesOn hung, as the member had the request before the front's goroutine had set what a cancel request would cancel. It is set first now, and the core keeps word of a cancel until the request arrives. TestCancelCrossesArrive was seen to fail with that left out.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -88,6 +88,8 @@
 	ended    bool
 	begun    bool // its answer is being passed on: no time limit ends it
 
+	cancelled bool // by its client, perhaps before it arrived
+
 	over atomic.Bool // no attempt may begin any more; set where that is first seen, on any goroutine
 }
 
@@ -248,18 +250,25 @@
 }
 
 // Cancel ends a request at its client's word, as Gone does, but the client is still there: unless it has its answer
-// already, that is Failed and Cancelled. It may be called from any goroutine, after Arrive.
+// already, that is Failed and Cancelled. It may be called from any goroutine, also while Arrive is still to be called.
 func (c *Core) Cancel(q *Request) {
 	q.over.Store(true)
 	c.Post(func() {
-		if !q.ended {
-			c.events = append(c.events, decide.Event{Kind: decide.ClientGone, Request: q.id})
-			c.finish(q, Answer{Verdict: Failed, MayHaveRun: q.mayHaveRun(), Cancelled: true}, record.Cancelled)
-			c.leave(q)
+		if q.cancelled = true; q.id != 0 {
+			c.cancel(q)
 		}
 	})
 }
 
+func (c *Core) cancel(q *Request) {
+	if q.ended {
+		return
+	}
+	c.events = append(c.events, decide.Event{Kind: decide.ClientGone, Request: q.id})
+	c.finish(q, Answer{Verdict: Failed, MayHaveRun: q.mayHaveRun(), Cancelled: true}, record.Cancelled)
+	c.leave(q)
+}
+
 // leave withdraws what a request whose client has gone has out: what is not yet written whole, and an answer that is
 // passing through. All else is the module's to call off.
 func (c *Core) leave(q *Request) {
@@ -410,6 +419,10 @@
 		e.HasToken, e.TokenAge = true, max(now-q.Written, 0)
 	}
 	c.events = append(c.events, e)
+	if q.cancelled {
+		c.cancel(q)
+		return
+	}
 	c.After(q.Until+deadlineSlack, func() {
 		if !q.ended && !q.begun { // guards the rule that each taken request gets an answer in time
 			c.log.Warn("deadline passed unanswered", "request", q.id)
--- a/internal/core/leave_test.go
+++ b/internal/core/leave_test.go
@@ -4,6 +4,7 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"reachwind/decide"
 	"reachwind/internal/record"
@@ -75,6 +76,21 @@
 	})
 }
 
+// TestCancelCrossesArrive: a cancel that is heard of before its request has arrived holds for it when it does.
+func TestCancelCrossesArrive(t *testing.T) {
+	run(t, func(c *Core, s *script, _ *client, _ *payload, _ *Request) {
+		cl, call := new(client), new(payload)
+		q := &Request{Until: c.Now() + time.Second, Call: call, Client: cl}
+		c.Cancel(q)
+		synctest.Wait()
+		c.Arrive(q)
+		synctest.Wait()
+		if len(cl.answers) != 1 || !cl.answers[0].Cancelled || call.released != 1 || s.events[2].Kind != decide.ClientGone || s.events[2].Request != q.id {
+			t.Errorf("answers %+v, released %d times, events %+v", cl.answers, call.released, s.events)
+		}
+	})
+}
+
 // TestMarkedAtOnce: a request is over from the call on by which its front says that the client has gone, and from its
 // answer on, so that whoever holds an attempt of it sees that before the owner has run.
 func TestMarkedAtOnce(t *testing.T) {
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -51,7 +51,7 @@
 	idleSince time.Time // zero with a command in work
 	key       key       // names it in cancel requests
 
-	work atomic.Pointer[core.Request] // what a cancel request would cancel; the goroutine's to set
+	work atomic.Pointer[core.Request] // what a cancel request would cancel; set before the request arrives
 }
 
 var (
@@ -348,6 +348,7 @@
 		return c.write(c.out)
 	}
 	q.Client = client{c, q}
+	c.work.Store(q)
 	c.s.core.Arrive(q)
 	m, err := c.await(q)
 	if err != nil {
