--- a/internal/pgfront/cancel.go
+++ b/internal/pgfront/cancel.go
@@ -165,10 +165,11 @@
 
 func (r *rest) Read(p []byte) (int, error) {
 	if len(r.have) == 0 {
-		r.have = nil
 		return r.next.Read(p)
 	}
 	n := copy(p, r.have)
-	r.have = r.have[n:]
+	if r.have = r.have[n:]; len(r.have) == 0 {
+		r.have = nil
+	}
 	return n, nil
 }
--- a/internal/pgmember/leave_test.go
+++ b/internal/pgmember/leave_test.go
@@ -94,7 +94,8 @@
 	accepted chan net.Conn // the member's ends
 	n        int
 
-	sendBuffer int // of the gateway's ends
+	sendBuffer int           // of the gateway's ends
+	before     time.Duration // sends must be written within it, 0 = any time
 }
 
 func newWires(t *testing.T) *wires {
@@ -176,7 +177,11 @@
 // send has the module send the last request to the member.
 func (w *wires) send() {
 	w.owner(func() {
-		w.script.actions = append(w.script.actions, decide.Action{Kind: decide.Send, Request: uint64(w.n), Member: "m"})
+		a := decide.Action{Kind: decide.Send, Request: uint64(w.n), Member: "m"}
+		if w.before > 0 {
+			a.Before = w.core.Now() + w.before
+		}
+		w.script.actions = append(w.script.actions, a)
 	})
 	w.core.List(decide.ListError, nil) // an event, so that there is a step
 }
@@ -459,12 +464,16 @@
 		"drains": {func(w *wires, q *core.Request) {
 			w.core.List(decide.ListChange, []core.Listed{{Member: decide.Member{ID: "m", State: decide.Draining}}})
 		}, decide.NotSent},
+		"too old":     {func(w *wires, q *core.Request) {}, decide.NotSent},
 		"member goes": {func(w *wires, q *core.Request) {}, decide.Unreachable},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := newWires(t)
 			_, c := w.idle()
 			value := strings.Repeat("x", 120_000)
+			if name == "too old" {
+				w.before = 2 * time.Second // of it a moment is needed to begin
+			}
 			q, _ := w.ask(writeClass, value)
 			unread(t, c, 1) // it is being written, and does not fit
 			tc.end(w, q)
