--- a/internal/pgfront/server.go
+++ b/internal/pgfront/server.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"reachwind/internal/call"
@@ -45,6 +46,7 @@
 	Now() core.Time
 	Arrive(*core.Request)
 	Gone(*core.Request)
+	Cancel(*core.Request)
 	Turned(front string, o record.Outcome, why record.Cause)
 }
 
@@ -68,6 +70,9 @@
 	working  int  // goroutines of connections
 	ended    sync.Cond
 
+	cancels cancels
+	ahead   atomic.Int64 // bytes that readers hold beyond their usual size
+
 	refused, closed, broken, full, short often.Line
 }
 
