The operators' door closes so that no answer is lost to a reset

Seen by reading and by callers that the test holds at each line: the door read 8 KB after an answer and then closed over whatever more had come; a caller refused for want of room was closed over its unread call; a call that came in the moment its connection made room, or as the process ended, was reset unanswered; the end of the process cut calls that were being answered. Ruled out: a half-close by the caller, a call behind the one answered, small writes held back (sockets have TCP_NODELAY).

Now one lingering close for all, bounded by silence, time and bytes, ended early for room; refusals have it too, in a number that the footprint holds; the door ends by answering whole calls, and cuts what is left after 1 s.

--- a/internal/opsdoor/opsdoor.go
+++ b/internal/opsdoor/opsdoor.go
@@ -33,10 +33,16 @@
 	wholeWait  = 10 * time.Second       // for a whole call, from the connection's start
 	answerWait = 600 * time.Millisecond // for what the operator's call does
 	writeWait  = time.Second
-	lingerWait = 300 * time.Millisecond // for the caller to close, so that its answer is not lost by a reset
+	lingerWait = 300 * time.Millisecond // of silence, for the caller to close, so that its answer is not lost by a reset,
+	lingerMost = 3 * time.Second        // for as long in all
+	lingerRead = 1 << 20                // and so many bytes
 	retryPause = 20 * time.Millisecond  // after an accept that failed
 	roomWait   = 200 * time.Millisecond // for a connection that was told to make room
 	lastWait   = 50 * time.Millisecond  // for the rest of a call, of a connection that was told so with bytes unread
+	lastIn     = 3 * time.Millisecond   // nobody must have come for so long before the listener is closed
+	refusePart = 8                      // of the connections there is one of so many, and one at least, for callers being refused
+	// closeWait is for calls that are being answered when the door is closed, and for those who asked to take their answers.
+	closeWait = answerWait + lingerWait + 2*lastWait
 	// A connection costs its goroutine, a small buffer and what the parser holds meanwhile.
 	connMemory = 16 << 10
 )
@@ -44,7 +50,7 @@
 // Config holds what the door is told.
 type Config struct {
 	Addr string // to listen on
-	Most int    // connections at a time, and half as many that are about to end; 0: DefaultMost
+	Most int    // connections at a time, half as many that are about to end, and some being refused; 0: DefaultMost
 }
 
 // DefaultMost are the connections at a time where nothing else is said.
@@ -53,9 +59,13 @@
 // Footprint is the most that the door holds: bytes, and descriptors with its listener.
 func (c Config) Footprint() (memory int64, files int) {
 	n := c.most()
-	return int64(n+n/2) * connMemory, n + n/2 + 2
+	n += n/2 + c.refusals()
+	return int64(n) * connMemory, n + 2
 }
 
+// refusals is how many callers may be told at a time that there is no room.
+func (c Config) refusals() int { return max(1, c.most()/refusePart) }
+
 func (c Config) most() int {
 	if c.Most <= 0 {
 		return DefaultMost
@@ -135,6 +145,7 @@
 
 	mu     sync.Mutex
 	conns  []*conn // the oldest first
+	turned []*conn // callers being refused
 	closed bool
 	done   sync.WaitGroup
 	freed  chan struct{} // a connection ended
@@ -167,7 +178,8 @@
 	incomplete stage = iota // without a whole call
 	leaving                 // told to make room, unless its call proves whole
 	working                 // its call is being answered
-	answered                // nothing is owed
+	answered                // nothing is owed: it lingers
+	hurried                 // the same, and it is to end
 )
 
 // New returns a door that asks op. It does nothing before Start.
@@ -190,70 +202,86 @@
 // Addr is where the door listens, once started.
 func (d *Door) Addr() net.Addr { return d.l.Addr() }
 
-// Close ends the door with all its connections.
+// Close ends the door: who has connected is let in, whole calls are answered, callers take their answers, and what is
+// open after closeWait is cut.
 func (d *Door) Close() {
 	d.mu.Lock()
 	d.closed = true
-	_ = d.l.Close()
+	if l, ok := d.l.(interface{ SetDeadline(time.Time) error }); ok {
+		_ = l.SetDeadline(time.Now().Add(lastIn))
+	} else {
+		_ = d.l.Close()
+	}
 	for _, c := range d.conns {
-		_ = c.Close()
+		if c.stage == incomplete {
+			c.stage = leaving
+			_ = c.SetReadDeadline(time.Now())
+		}
 	}
 	d.mu.Unlock()
+	late := time.AfterFunc(closeWait, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		for _, c := range slices.Concat(d.conns, d.turned) {
+			_ = c.Close()
+		}
+	})
 	d.done.Wait()
+	late.Stop()
+	_ = d.l.Close()
 }
 
 func (d *Door) accept() {
 	defer d.done.Done()
 	for {
 		nc, err := d.l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil { // out of descriptors, most likely, or a caller that left early
-			d.failing.Warn(d.log, "operators' accept failed", "err", err)
-			time.Sleep(retryPause)
+		if err == nil {
+			d.admit(nc)
 			continue
 		}
-		if c := d.admit(nc); c != nil {
-			go d.serve(c)
+		d.mu.Lock()
+		closed := d.closed
+		d.mu.Unlock()
+		if closed || errors.Is(err, net.ErrClosed) {
+			return
 		}
+		d.failing.Warn(d.log, "operators' accept failed", "err", err) // out of descriptors, most likely
+		time.Sleep(retryPause)
 	}
 }
 
-// admit takes a connection in. At the bound the one that has been longest without a whole call is told to make room; its
-// goroutine closes it, unless it finds a whole call in what it has read by then. Where too many are about to end,
-// or all are being answered, the new one waits for a moment, and is then told to come again.
-func (d *Door) admit(nc net.Conn) *conn {
+// admit takes a connection in and serves it. At the bound the one that has been longest without a whole call is told to
+// make room; its goroutine ends it, unless it finds a whole call in what it has read by then. Where too many are about
+// to end, or all are being answered, the new one waits for a moment, and is then told to come again.
+func (d *Door) admit(nc net.Conn) {
+	c := &conn{Conn: nc}
 	most := d.conf.most()
 	for late := time.Now().Add(roomWait); ; {
 		d.mu.Lock()
 		n := len(d.conns)
-		if d.closed {
-			d.mu.Unlock()
-			_ = nc.Close()
-			return nil
-		}
 		if n >= most {
 			d.makeRoom(n - most + 1)
 		}
 		if n < most+most/2 {
-			c := &conn{Conn: nc}
-			_ = c.SetReadDeadline(time.Now().Add(wholeWait))
+			if d.closed {
+				c.stage = leaving
+				_ = c.SetReadDeadline(time.Now().Add(lastWait))
+			} else {
+				_ = c.SetReadDeadline(time.Now().Add(wholeWait))
+			}
 			d.conns = append(d.conns, c)
 			d.done.Add(1)
 			d.mu.Unlock()
-			return c
+			go d.serve(c)
+			return
 		}
-		d.mu.Unlock()
 		left := time.Until(late)
-		if left <= 0 {
-			err := badCall{http.StatusServiceUnavailable, fmt.Sprintf("%d calls are being answered", n), "fewer at a time", "call again"}
-			_ = nc.SetWriteDeadline(time.Now().Add(retryPause))
-			_, _ = nc.Write(answer(err, false))
-			_ = nc.Close()
-			d.room.Warn(d.log, "operators' call refused: too many at a time", "open", n)
-			return nil
+		if left <= 0 || d.closed {
+			d.refuse(c)
+			d.mu.Unlock()
+			return
 		}
+		d.mu.Unlock()
 		wait := time.NewTimer(left)
 		select {
 		case <-d.freed:
@@ -263,6 +291,29 @@
 	}
 }
 
+// refuse tells a caller that there is no room. One that comes while too many are told so is closed with no word. The
+// caller holds the lock.
+func (d *Door) refuse(c *conn) {
+	n := len(d.conns)
+	d.room.Warn(d.log, "operators' call refused: too many at a time", "open", n)
+	if len(d.turned) >= d.conf.refusals() {
+		_ = c.Close()
+		return
+	}
+	d.turned = append(d.turned, c)
+	d.done.Add(1)
+	go func() {
+		defer d.done.Done()
+		defer func() {
+			_ = c.Close()
+			d.mu.Lock()
+			d.turned = slices.DeleteFunc(d.turned, func(o *conn) bool { return o == c })
+			d.mu.Unlock()
+		}()
+		d.answer(c, badCall{http.StatusServiceUnavailable, fmt.Sprintf("%d calls are being answered", n), "fewer at a time", "call again"}, false)
+	}()
+}
+
 // makeRoom has so many connections about to end: those that have their answer, and then the one that has been longest
 // without a whole call. One with bytes that nobody has read yet is told last: they may make its call whole. The
 // caller holds the lock.
@@ -270,9 +321,12 @@
 	var late *conn
 	for _, c := range d.conns {
 		switch {
-		case c.stage == answered, c.stage == leaving:
+		case c.stage == answered:
+			c.stage = hurried
 			_ = c.SetReadDeadline(time.Now())
 			want--
+		case c.stage == hurried, c.stage == leaving:
+			want--
 		case c.stage == incomplete && late == nil && !unread(c.Conn):
 			late = c
 		}
@@ -328,15 +382,14 @@
 	if err != nil && !errors.As(err, new(badCall)) {
 		return // it left
 	}
-	if was := d.move(c, working); was == leaving && err != nil {
-		return // it had to make room
+	if was := d.move(c, working); was == leaving && err != nil { // also where its call came in the moment that it was told so
+		err = badCall{http.StatusServiceUnavailable, "no whole call has come, and another caller needs the room", "the call right after connecting", "call again"}
 	}
 	if err == nil {
 		err = d.do(call)
 	}
 	head := call != nil && call.Method == http.MethodHead
-	_ = c.SetWriteDeadline(time.Now().Add(writeWait))
-	_, werr := c.Write(answer(err, head))
+	d.answer(c, err, head)
 	if err != nil {
 		args := []any{"remote", c.RemoteAddr(), "status", status(err), "err", err}
 		if call != nil {
@@ -344,10 +397,40 @@
 		}
 		d.refused.Info(d.log, "operator's call answered no", args...)
 	}
-	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok && werr == nil && w.CloseWrite() == nil {
-		_ = c.SetReadDeadline(time.Now().Add(lingerWait))
-		d.move(c, answered)
-		_, _ = io.CopyN(io.Discard, c, callMost)
+}
+
+// answer writes an answer and ends the connection by a lingering close: the sending side is closed, and what the caller
+// still sends is read, as a close over unread bytes would reset the connection and take the answer with it. Silence, time
+// and bytes bound it, and makeRoom ends it sooner.
+func (d *Door) answer(c *conn, err error, head bool) {
+	_ = c.SetWriteDeadline(time.Now().Add(writeWait))
+	if _, err := c.Write(answer(err, head)); err != nil {
+		return
+	}
+	w, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || w.CloseWrite() != nil {
+		return
+	}
+	c.last = false
+	d.move(c, answered)
+	end, b := time.Now().Add(lingerMost), make([]byte, 4<<10)
+	for left := lingerRead; left > 0; {
+		d.await(c, end)
+		n, err := c.Read(b)
+		if left -= n; err != nil {
+			return
+		}
+	}
+}
+
+// await bounds the next read of a lingering connection, unless it is to end.
+func (d *Door) await(c *conn, end time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if until := time.Now().Add(lingerWait); c.stage == answered && until.Before(end) {
+		_ = c.SetReadDeadline(until)
+	} else if c.stage == answered {
+		_ = c.SetReadDeadline(end)
 	}
 }
 
--- a/internal/opsdoor/opsdoor_test.go
+++ b/internal/opsdoor/opsdoor_test.go
@@ -231,8 +231,8 @@
 		op := new(operator)
 		d := New(Config{}, op, slog.New(slog.DiscardHandler))
 		s := &script{in: strings.NewReader(text)}
-		c := d.admit(s)
-		d.serve(c)
+		d.admit(s)
+		d.done.Wait()
 		if len(d.conns) != 0 {
 			t.Fatal("kept")
 		}
