Descriptors are divided under small limits too, and SIGHUP does not end a process that starts

Seen: with limits.sockets 64 the shares of clients, members and the door alone came to 72 (91 with what the process needs itself), up to 110 the shares left less than it needs: a flood of idle clients met EMFILE in accept and in dials to members while discovery was down. SIGHUP that came before Serve ended the process, which counts as a crash: the configuration is read before that. Ruled out: accept spinning on EMFILE (it pauses), clients refused beyond their share.

Budget now keeps ownFiles, counted one by one, free of all shares; limits of 200 and more are divided as before. LoadServing takes SIGHUP before it reads the file.

TestDescriptors, TestFlood (64: accept4: too many open files) and TestHangupWhileStarting were seen failing without it.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -7,7 +7,9 @@
 	"log/slog"
 	"net"
 	"os"
+	"os/signal"
 	"strconv"
+	"syscall"
 	"time"
 
 	"reachwind/decide"
@@ -31,12 +33,20 @@
 	version int64
 	facts   *settings.Facts
 	text    []byte          // that it was read from, until it is kept for the next process
+	hup     chan os.Signal  // SIGHUP, from before the file was read; nil: Serve begins to take it
 	terms   *terms.Book     // in force, once it runs
 	shape   *settings.Shape // what a file read at SIGHUP must hold again
 }
 
 const defaultSockets = 1024
 
+// ownFiles are the descriptors that no client, member or operator may take, whatever the limit is: three of the standard
+// streams; the runtime's poller, its event and two of the processor's limit; the clients' listener, and a connection that
+// it has accepted and nobody has counted yet; the call to discovery; the configuration read at SIGHUP; and, beside another
+// process of this gateway, the lock, the socket that takes connections over, its connection, one taken over and its copy,
+// a state file, and the folder where descriptors are counted.
+const ownFiles = 3 + 4 + 2 + 1 + 1 + 7
+
 // Load reads the configuration at path. The environment fills in names that it leaves out.
 func Load(path string) (*Config, error) {
 	if path == "" {
@@ -55,8 +65,21 @@
 }
 
 // LoadServing is Load for a process that is to serve. One that replaces another, and finds a file that can't be used,
-// goes on with what the former process was told last: operators may be in the middle of mending it.
+// goes on with what the former process was told last: operators may be in the middle of mending it. From here on SIGHUP
+// ends the process no more: the file may change while it is read, or before Serve, and is read again then.
 func LoadServing(path string, log *slog.Logger) (*Config, error) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	c, err := loadServing(path, log)
+	if err != nil {
+		signal.Stop(hup)
+		return nil, err
+	}
+	c.hup = hup
+	return c, nil
+}
+
+func loadServing(path string, log *slog.Logger) (*Config, error) {
 	c, err := Load(path)
 	if err == nil || os.Getenv("NODE_SOCKET_FD") == "" {
 		return c, err
--- a/internal/gateway/edge.go
+++ b/internal/gateway/edge.go
@@ -70,7 +70,7 @@
 
 // Budget is how descriptors and memory are divided.
 type Budget struct {
-	Sockets int // of the gateway proper, after the parts took theirs
+	Sockets int // that are divided by shares, after the parts took theirs: what the shares leave holds ownFiles
 	Clients int
 	Members int
 	Buffers int   // statements and answers,
@@ -102,7 +102,8 @@
 		memory, files := c.door().Footprint()
 		b.Parts, b.Files = b.Parts+memory, b.Files+files
 	}
-	b.Sockets = max(leastSockets, c.sockets-b.Files)
+	left := c.sockets - b.Files
+	b.Sockets = max(leastShared, min(left, int(float64(left-ownFiles)/(clientPart+sparePart+memberPart))))
 	b.Clients, b.Members = int(clientPart*float64(b.Sockets)), int(memberPart*float64(b.Sockets))
 	room := bufferPart * float64(max(0, memory-b.Parts))
 	b.Small = int(smallPart*room) / pgwire.SmallSize
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,11 +33,12 @@
 	database = "shop"
 
 	leastSockets  = 64
+	leastShared   = 16 // of them, where parts of the product configuration take nearly all
 	leastMemory   = 32 << 20
 	clientPart    = 0.5   // of the descriptors, for client connections
 	idlePart      = 0.08  // of those, for such as are idle
 	sparePart     = 0.08  // for those being ended or refused
-	memberPart    = 0.33  // for member connections; the rest is for discovery, the listener and the runtime
+	memberPart    = 0.33  // for member connections; the rest is for ownFiles
 	bufferPart    = 0.5   // of the memory, for buffers
 	smallPart     = 0.125 // of these, for small ones: more of them than there are connections
 	softPart      = 0.8   // of the memory, above which the collector works harder
@@ -75,8 +76,11 @@
 // Serve runs the gateway until SIGTERM or SIGINT, then winds it down. SIGHUP has
 // it read its configuration again; until the very end, as it would end the program.
 func Serve(c *Config, o Options) error {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+	hup := c.hup
+	if hup == nil {
+		hup = make(chan os.Signal, 1)
+		signal.Notify(hup, syscall.SIGHUP)
+	}
 	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	runtime.GOMAXPROCS(1) // a gateway has one core: more threads would only take turns on it
