A connection that is passed on has been taken over, or stays with the former process

Seen by reading: a former process counted a connection as passed on once it was written to the successor's socket. If that one died or ended before it read there, client and request went with it; a successor that was itself told to end stayed ready on the board to its last moment and dropped what lay in its queue. Ruled out: bytes that come while a connection passes (they wait in the socket), two processes reading one connection.

From SIGTERM on a process takes nothing more over: it is ready no longer, lets in who has connected, and empties its queue first. Former processes then find another one or keep what they have.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -104,7 +104,8 @@
 
 	mu      sync.Mutex
 	adopt   func(net.Conn, bool) // takes over a connection; nil: not serving yet
-	end     func()               // of taking connections over; nil: not begun
+	end     func()               // of taking connections over; nil: not begun, or over
+	leaving bool                 // it takes over none any more
 	listed  map[string]core.Listed
 	version func() int64 // of the list
 	pending bool         // a save is on, or will be
@@ -302,17 +303,25 @@
 	}
 }
 
+// leave has former processes keep their connections, or pass them on to others, as this one begins to end: what it has
+// been given by then it takes over, and answers. It may be called more than once.
+func (s *succession) leave() {
+	s.mu.Lock()
+	end := s.end
+	s.leaving, s.end = true, nil
+	s.mu.Unlock()
+	s.board.Ready(false)
+	if end != nil {
+		end()
+	}
+}
+
 func (s *succession) stop() {
 	if s == nil {
 		return
 	}
 	close(s.done)
-	s.board.Ready(false)
-	s.mu.Lock()
-	if s.end != nil {
-		s.end()
-	}
-	s.mu.Unlock()
+	s.leave()
 	s.log.Info("handover: ending", "passed_on", s.passed.Load(), "not_passed_on", s.kept.Load())
 }
 
@@ -393,9 +402,20 @@
 	return nil
 }
 
-// warm waits before the first accept while another process serves: for discovery's list, but not for long.
+// warm waits before the first accept while another process serves: for discovery's list, but not for long. From the end
+// of term on nothing more is taken over.
 func (s *succession) warm(term <-chan struct{}) {
-	if s == nil || s.others.Load() == 0 {
+	if s == nil {
+		return
+	}
+	go func() {
+		select {
+		case <-term:
+			s.leave()
+		case <-s.done:
+		}
+	}()
+	if s.others.Load() == 0 {
 		return
 	}
 	least, most := time.After(warmLeast), time.After(warmMost)
@@ -425,10 +445,7 @@
 func (s *succession) receive() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.adopt == nil || !s.board.Shared() {
-		return
-	}
-	if s.end != nil {
+	if s.adopt == nil || s.leaving || s.end != nil || !s.board.Shared() {
 		return
 	}
 	stop, err := s.board.Receive(s.adopt)
@@ -445,10 +462,7 @@
 		return nil
 	}
 	p := s.board.Passer()
-	var mu sync.Mutex
 	return func(nc net.Conn, began bool) bool {
-		mu.Lock()
-		defer mu.Unlock()
 		err := p.Pass(nc, began)
 		if err == nil {
 			s.passed.Add(1)
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -38,6 +39,9 @@
 			b.Commit(1, f[1], time.Duration(n))
 		case "add":
 			_, err = b.Change("set", func(was []byte) ([]byte, error) { return append(was, byte(n)), nil })
+		case "take":
+			_, err = b.Receive(func(nc net.Conn, _ bool) { _, _ = nc.Write([]byte("taken")) })
+			b.Ready(true)
 		}
 		fmt.Println("done", err)
 	}
