--- /dev/null
+++ b/cmd/reachwind/overlap_test.go
@@ -0,0 +1,307 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"reachwind/internal/lab/proc"
+	"reachwind/internal/lab/upgrade"
+	"reachwind/internal/pgwire"
+	"reachwind/internal/standin/cluster"
+)
+
+// statement is a request as a client writes it.
+func statement(id, class string, wait time.Duration) []byte {
+	return pgwire.Append(nil, 'Q', fmt.Sprintf("/* id=%s,c=%s,t=kea-basin,d=%d,cluster=0 */ SELECT doc FROM items WHERE id = 'x'\x00", id, class, wait.Milliseconds()))
+}
+
+// peer is a client that the test holds at each byte.
+type peer struct {
+	*net.TCPConn
+	r *bufio.Reader
+}
+
+func connect(t *testing.T, addr string) peer {
+	t.Helper()
+	nc, err := net.DialTimeout("tcp", addr, within)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = nc.Close() })
+	_ = nc.SetDeadline(time.Now().Add(2 * within))
+	return peer{nc.(*net.TCPConn), bufio.NewReader(nc)}
+}
+
+func (p peer) send(t *testing.T, text []byte) {
+	t.Helper()
+	if _, err := p.Write(text); err != nil {
+		t.Errorf("write: %v", err)
+	}
+}
+
+// hear reads messages through ReadyForQuery, and returns their types.
+func (p peer) hear() (types string, err error) {
+	for head := make([]byte, 5); ; {
+		if _, err := io.ReadFull(p.r, head); err != nil {
+			return types, err
+		}
+		typ, n, err := pgwire.Header(head)
+		if err != nil {
+			return types, err
+		}
+		if _, err := io.CopyN(io.Discard, p.r, int64(n)); err != nil {
+			return types, err
+		}
+		types += string(typ)
+		if typ == 'Z' {
+			return types, nil
+		}
+	}
+}
+
+// one reads exactly one whole answer: a row, or a word that there is none.
+func (p peer) one(t *testing.T, what string) {
+	t.Helper()
+	if types, err := p.hear(); err != nil || types != "TDCZ" && types != "EZ" || p.r.Buffered() > 0 {
+		t.Errorf("%s: answered %q, %v, and %d bytes more", what, types, err, p.r.Buffered())
+	}
+}
+
+// beside starts a process on a socket that the platform holds.
+func beside(t *testing.T, dir, path string, socket *os.File) *proc.Gateway {
+	t.Helper()
+	none, err := os.Open(os.DevNull)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = none.Close() }()
+	g, err := proc.With(os.Args[0], []string{"serve", "--config", path}, "msg=serving",
+		[]string{"REACHWIND_PLAY=1", "TMPDIR=" + dir, "NODE_SOCKET_FD=5", "NODE_ADMIN_ADDR=127.0.0.1:0"}, []*os.File{none, none, socket})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Kill)
+	return g
+}
+
+func platform(t *testing.T) (addr string, socket *os.File) {
+	t.Helper()
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if socket, err = l.File(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = socket.Close()
+		_ = l.Close()
+	})
+	return l.Addr().String(), socket
+}
+
+// ended waits for a process's own end.
+func ended(t *testing.T, g *proc.Gateway) {
+	t.Helper()
+	select {
+	case <-g.Ended():
+	case <-time.After(within):
+		t.Fatalf("it does not end: %s", g.Log())
+	}
+	if !strings.Contains(g.Log(), "msg=stopped") {
+		t.Errorf("it did not end in order: %s", g.Log())
+	}
+}
+
+// TestOverlap replaces a process whose clients are at every step, its members hanging, under signals that come twice: each
+// request gets one whole answer, and no connection is cut, also where bytes come as it is passed on.
+func TestOverlap(t *testing.T) {
+	c := started(t, cluster.Config{Groups: 1, Replicas: 2})
+	addr, socket := platform(t)
+	dir, path := t.TempDir(), written(t, c, c.Discovery(), 256)
+	former := beside(t, dir, path, socket)
+	eventually(t, former, "a served request", func() bool {
+		p := connect(t, addr)
+		p.send(t, append(pgwire.AppendStartup(nil, "app", "shop"), statement("first-"+fmt.Sprint(time.Now().UnixNano()), "field-info", 3*time.Second)...))
+		_, _ = p.hear()
+		types, _ := p.hear()
+		_ = p.Close()
+		return types == "TDCZ" || types == "TCZ"
+	})
+	hello := pgwire.AppendStartup(nil, "app", "shop")
+	begin := func(more []byte) peer {
+		p := connect(t, addr)
+		p.send(t, append(append([]byte(nil), hello...), more...))
+		if types, err := p.hear(); err != nil {
+			t.Fatalf("startup: %q, %v", types, err)
+		}
+		return p
+	}
+	for _, m := range c.Members() {
+		m.Hang(true)
+	}
+	const each = 6
+	var out, idle, fresh, halfHello, halfAsked, left []peer
+	for i := range each {
+		text := statement(fmt.Sprint("half-", i), "field-info", 3*time.Second)
+		idle = append(idle, begin(nil))
+		halfAsked = append(halfAsked, begin(text[:len(text)/2]))
+		left = append(left, begin(statement(fmt.Sprint("left-", i), "field-info", 3*time.Second)))
+		fresh = append(fresh, connect(t, addr))
+		p := connect(t, addr)
+		p.send(t, hello[:len(hello)/2])
+		halfHello = append(halfHello, p)
+		out = append(out, begin(statement(fmt.Sprint("out-", i), []string{"field-info", "run-status"}[i%2], 3*time.Second)))
+	}
+	next := beside(t, dir, path, socket)
+
+	var busy sync.WaitGroup // these ask all the time, so that some bytes come at every step of the passing
+	stop := make(chan struct{})
+	for range each {
+		p := begin(nil)
+		busy.Add(1)
+		go func() {
+			defer busy.Done()
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				p.send(t, pgwire.Append(nil, 'Q', "\x00"))
+				if types, err := p.hear(); types != "IZ" || err != nil {
+					t.Errorf("%v client %v, its command %d: %q, %v", time.Now().UTC(), p.LocalAddr(), n, types, err)
+					return
+				}
+			}
+		}()
+	}
+	former.Signal(syscall.SIGTERM)
+	eventually(t, former, "stopping", func() bool { return strings.Contains(former.Log(), "msg=stopping") })
+	former.Signal(syscall.SIGTERM)
+	former.Signal(syscall.SIGHUP)
+	next.Signal(syscall.SIGHUP)
+	for i := range each {
+		text := statement(fmt.Sprint("half-", i), "field-info", 3*time.Second)
+		halfAsked[i].send(t, text[len(text)/2:])
+		halfHello[i].send(t, append(append([]byte(nil), hello[len(hello)/2:]...), statement(fmt.Sprint("hello-", i), "field-info", 3*time.Second)...))
+		idle[i].send(t, statement(fmt.Sprint("idle-", i), "field-info", 3*time.Second))
+		fresh[i].send(t, append(append([]byte(nil), hello...), statement(fmt.Sprint("fresh-", i), "field-info", 3*time.Second)...))
+		if i%2 == 0 {
+			_ = left[i].SetLinger(0)
+		}
+		_ = left[i].Close()
+	}
+	eventually(t, next, "reloaded", func() bool { return strings.Contains(next.Log(), "msg=reloaded") })
+	for _, m := range c.Members() {
+		m.Hang(false)
+	}
+	for i := range each {
+		out[i].one(t, fmt.Sprint("in flight ", i))
+		halfAsked[i].one(t, fmt.Sprint("half a statement ", i))
+		idle[i].one(t, fmt.Sprint("idle ", i))
+		for _, p := range []peer{fresh[i], halfHello[i]} {
+			if types, err := p.hear(); err != nil || !strings.HasPrefix(types, "R") {
+				t.Errorf("startup %d: %q, %v", i, types, err)
+			}
+			p.one(t, fmt.Sprint("startup and statement ", i))
+		}
+	}
+	ended(t, former)
+	close(stop)
+	busy.Wait()
+	if t.Failed() {
+		t.Logf("former: %s\nnext: %s", former.Log(), next.Log())
+	}
+	next.Signal(syscall.SIGTERM)
+	ended(t, next)
+}
+
+// TestReady: whatever discovery does, a process that starts, among clients that have come before it, answers the platform,
+// its clients and its operators before discovery has said a word; and it ends in order.
+func TestReady(t *testing.T) {
+	c := started(t, cluster.Config{Groups: 1, Replicas: 2})
+	for name, serve := range map[string]func(net.Conn){
+		"down":   nil,
+		"silent": func(net.Conn) {},
+		"full": func(nc net.Conn) {
+			_, _ = http.ReadRequest(bufio.NewReader(nc))
+			_, _ = io.WriteString(nc, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+			_ = nc.Close()
+		},
+		"slow": func(nc net.Conn) {
+			for _, b := range []byte("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n{") {
+				_, _ = nc.Write([]byte{b})
+				time.Sleep(50 * time.Millisecond)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRelay(t, c.Discovery())
+			if serve != nil {
+				r.up(t, serve)
+			}
+			path := written(t, c, r.addr, 64)
+			addr, socket := platform(t)
+			for i := range 60 {
+				if p := connect(t, addr); i%2 == 0 { // they wait on the platform's socket, from before the start
+					p.send(t, pgwire.AppendStartup(nil, "app", "shop"))
+				}
+			}
+			dir := t.TempDir()
+			g := beside(t, dir, path, socket)
+			throttled := make(chan struct{}) // a tenth of a core, or less
+			resumed := make(chan struct{})
+			go func() {
+				defer close(resumed)
+				for {
+					select {
+					case <-throttled:
+						return
+					default:
+					}
+					g.Signal(syscall.SIGSTOP)
+					time.Sleep(45 * time.Millisecond)
+					g.Signal(syscall.SIGCONT)
+					time.Sleep(5 * time.Millisecond)
+				}
+			}()
+			eventually(t, g, "the platform admits it", func() bool { return admitted(addr) == nil })
+			eventually(t, g, "the door says yes", func() bool { return upgrade.Call(g, "GET", "/v1/readyz") == nil })
+			close(throttled)
+			<-resumed
+			n := 0
+			eventually(t, g, "a client is served", func() bool {
+				n++
+				p := connect(t, addr)
+				defer func() { _ = p.Close() }()
+				p.send(t, append(pgwire.AppendStartup(nil, "app", "shop"), statement(fmt.Sprint(name, "-", n), "field-info", 3*time.Second)...))
+				_, _ = p.hear()
+				types, _ := p.hear()
+				return types == "TDCZ" || types == "TCZ"
+			})
+			if strings.Contains(g.Log(), "msg=list ") {
+				t.Error("discovery answered")
+			}
+			// One that replaces it waits for discovery for a bounded time only.
+			next := beside(t, dir, path, socket)
+			if !strings.Contains(next.Log(), "serving before discovery answered") {
+				t.Errorf("the next process: %s", next.Log())
+			}
+			g.Signal(syscall.SIGTERM)
+			ended(t, g)
+			eventually(t, next, "the platform admits the next process", func() bool { return admitted(addr) == nil })
+			next.Signal(syscall.SIGTERM)
+			ended(t, next)
+		})
+	}
+}
