--- a/cmd/reachwind/overlap_test.go
+++ b/cmd/reachwind/overlap_test.go
@@ -314,3 +314,65 @@
 		})
 	}
 }
+
+// TestSuccessorDies: a next process that is told to end while it waits for discovery, and one that is killed with
+// connections on their way to it, take no request with them: what clients wrote meanwhile is answered by the former one.
+func TestSuccessorDies(t *testing.T) {
+	c := started(t, cluster.Config{Groups: 1, Replicas: 2})
+	r := newRelay(t, c.Discovery())
+	r.up(t, func(net.Conn) {}) // silent
+	addr, socket := platform(t)
+	dir, path := t.TempDir(), written(t, c, r.addr, 1024)
+	former := beside(t, dir, path, socket)
+	idle := func() (p peer) {
+		p = connect(t, addr)
+		p.send(t, pgwire.Append(pgwire.AppendStartup(nil, "app", "shop"), 'Q', "\x00"))
+		for range 2 {
+			if types, err := p.hear(); err != nil {
+				t.Fatalf("startup: %q, %v\n%s", types, err, former.Log())
+			}
+		}
+		return p
+	}
+	early, err := proc.With(os.Args[0], []string{"serve", "--config", path}, "",
+		[]string{"REACHWIND_PLAY=1", "TMPDIR=" + dir, "NODE_SOCKET_FD=3", "NODE_ADMIN_ADDR=127.0.0.1:0"}, []*os.File{socket})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(early.Kill)
+	eventually(t, early, "its door is open", func() bool { return strings.Contains(early.Log(), "door open") })
+	early.Signal(syscall.SIGTERM)
+	ended(t, early)
+
+	next := beside(t, dir, path, socket)
+	next.Signal(syscall.SIGSTOP)
+	var all []peer
+	for range 12 { // it is stopped, so these are the former one's
+		all = append(all, idle())
+	}
+	former.Signal(syscall.SIGTERM)
+	eventually(t, former, "stopping", func() bool { return strings.Contains(former.Log(), "msg=stopping") })
+	eventually(t, former, "a link to the next process", func() bool {
+		text, _ := os.ReadFile("/proc/net/unix")
+		n := 0
+		for line := range strings.Lines(string(text)) {
+			if strings.Contains(line, dir) {
+				n++ // the socket that listens, and the end of a link that waits there
+			}
+		}
+		return n > 1
+	})
+	for _, p := range all {
+		p.send(t, pgwire.Append(nil, 'Q', "\x00"))
+	}
+	next.Kill()
+	for i, p := range all {
+		if types, err := p.hear(); types != "IZ" || err != nil {
+			t.Errorf("client %d: %q, %v", i, types, err)
+		}
+	}
+	ended(t, former)
+	if t.Failed() {
+		t.Log(former.Log())
+	}
+}
--- a/internal/handover/pass.go
+++ b/internal/handover/pass.go
@@ -14,7 +14,7 @@
 
 const (
 	passWait  = 200 * time.Millisecond // for room on the way to the successor
-	takenWait = time.Second            // for its word that it took a connection over
+	takenWait = 2 * time.Second        // for its word that it took a connection over
 	passRoom  = 16                     // bytes; a message is one
 	linkTries = 2                      // successors that are tried: one may be ending, with another one ready
 	lastIn    = 3 * time.Millisecond   // nobody must have come for so long before the socket is closed
