A connection whose descriptor did not arrive is not told to be taken over

Seen by reading: a successor at its limit of descriptors answers nothing for a connection that the system cut off on the way, and the former process had closed it. TestPassWithoutRoom was seen failing without it.

--- a/internal/handover/pass.go
+++ b/internal/handover/pass.go
@@ -107,6 +107,7 @@
 		if err != nil {
 			return
 		}
+		taken := false
 		for i := range all {
 			fds, _ := syscall.ParseUnixRights(&all[i])
 			for _, fd := range fds {
@@ -115,9 +116,13 @@
 				_ = f.Close()
 				if err == nil {
 					take(nc, kind[0] == 1)
+					taken = true
 				}
 			}
 		}
+		if !taken { // for want of descriptors, most likely: the former process goes on with it, and with what follows
+			return
+		}
 		if tell { // a process of an earlier version does not listen: its room fills
 			_ = from.SetWriteDeadline(time.Now().Add(passWait))
 			_, err := from.Write(kind[:1])
--- a/internal/handover/pass_test.go
+++ b/internal/handover/pass_test.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -68,6 +71,9 @@
 	read(t, far, "taken")
 
 	_ = next.Process.Signal(syscall.SIGSTOP)
+	for !stopped(next.Process.Pid) {
+		time.Sleep(time.Millisecond)
+	}
 	far, near = client(t)
 	passed := make(chan error, 1)
 	go func() { passed <- p.Pass(near, true) }()
@@ -88,6 +94,18 @@
 	read(t, far, "still")
 }
 
+// stopped tells whether all threads of a process are stopped.
+func stopped(pid int) bool {
+	tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	for _, task := range tasks {
+		text, err := os.ReadFile(task)
+		if _, rest, _ := strings.Cut(string(text), ") "); err == nil && !strings.HasPrefix(rest, "T") {
+			return false
+		}
+	}
+	return len(tasks) > 0
+}
+
 func read(t *testing.T, nc net.Conn, want string) {
 	t.Helper()
 	b := make([]byte, len(want))
@@ -170,3 +188,30 @@
 		t.Errorf("%d of %d were taken over", n, len(words))
 	}
 }
+
+// TestPassWithoutRoom: a connection whose descriptor did not arrive, as the successor has none left, is not told to be
+// taken over, nor is what was written behind it: the former process has them all.
+func TestPassWithoutRoom(t *testing.T) {
+	dir := t.TempDir()
+	p := patient(board(t, dir))
+	next := board(t, dir)
+	if _, err := next.Receive(func(net.Conn, bool) {}); err != nil {
+		t.Fatal(err)
+	}
+	next.Ready(true)
+	_, near := client(t)
+	if err := p.Pass(near, true); err != nil {
+		t.Fatal(err)
+	}
+	p.mu.Lock()
+	to := p.to
+	word := to.await()
+	_, _, err := to.WriteMsgUnix([]byte{1}, nil, nil) // as it comes where the system cut the descriptor off
+	p.mu.Unlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := <-word; !errors.Is(err, errDied) {
+		t.Errorf("a connection that did not arrive: %v", err)
+	}
+}
