The clients' door lets in who has connected before it closes for good

Seen by reading: closing the door of a fleet's gateway at the end closed the listener at once, which resets whoever had connected and was not accepted, with the request that came along; and a door told to shut stayed open for as long as clients kept coming within 3 ms of each other. Ruled out: shutting, which waited for a quiet moment already.

Both now accept until nobody has come for 3 ms, and 100 ms at the most. TestDoorCloses was seen failing without it, for the close.

--- a/internal/gateway/door.go
+++ b/internal/gateway/door.go
@@ -13,15 +13,20 @@
 	addr string
 
 	mu     sync.Mutex
-	l      net.Listener
+	l      net.Listener // nil: connections are refused
 	shut   bool
-	closed bool
+	closed bool          // for good
+	by     time.Time     // shut or closed: the listener is closed by then, whoever still comes
 	change chan struct{} // closed and made anew with each change
 }
 
 // lastIn is how long nobody must have come before a door that is told to shut is shut: connections that wait unseen
-// when a listener is closed are reset, and their clients lose what they sent.
-const lastIn = 3 * time.Millisecond
+// when a listener is closed are reset, and their clients lose what they sent. Where clients come all the time it is shut
+// after lastMost all the same.
+const (
+	lastIn   = 3 * time.Millisecond
+	lastMost = 100 * time.Millisecond
+)
 
 func newDoor(l net.Listener) *door {
 	return &door{addr: l.Addr().String(), l: l, change: make(chan struct{})}
@@ -37,18 +42,22 @@
 func (d *door) Accept() (net.Conn, error) {
 	for {
 		d.mu.Lock()
-		l, shut, closed, change := d.l, d.shut, d.closed, d.change
+		l, shut, closed, change := d.l, d.shut || d.closed, d.closed, d.change
+		if l != nil && shut {
+			until := time.Now().Add(lastIn)
+			if until.After(d.by) {
+				until = d.by
+			}
+			deadline(l, until)
+		}
 		d.mu.Unlock()
 		switch {
-		case closed:
+		case l == nil && closed:
 			return nil, net.ErrClosed
 		case l == nil:
 			<-change
 			continue
 		}
-		if shut {
-			deadline(l, time.Now().Add(lastIn))
-		}
 		c, err := l.Accept()
 		if err == nil {
 			return c, nil
@@ -56,12 +65,13 @@
 		d.mu.Lock()
 		var late net.Error
 		switch timeout := errors.As(err, &late) && late.Timeout(); {
-		case timeout && d.shut && d.l == l:
+		case d.l != l:
+		case timeout && d.shut, d.closed:
 			_ = l.Close()
 			d.l = nil
 		case timeout:
 			deadline(l, time.Time{})
-		case d.l == l && !d.closed:
+		default:
 			d.mu.Unlock()
 			return nil, err
 		}
@@ -69,10 +79,10 @@
 	}
 }
 
-func deadline(l net.Listener, t time.Time) {
-	if x, ok := l.(interface{ SetDeadline(time.Time) error }); ok {
-		_ = x.SetDeadline(t)
-	}
+// deadline bounds accepting, and tells whether the listener can do that.
+func deadline(l net.Listener, t time.Time) bool {
+	x, ok := l.(interface{ SetDeadline(time.Time) error })
+	return ok && x.SetDeadline(t) == nil
 }
 
 func (d *door) changed() {
@@ -88,8 +98,14 @@
 		return
 	}
 	d.shut = true
-	if d.l != nil {
-		deadline(d.l, time.Now()) // wakes Accept, which lets in who has come
+	d.ending()
+}
+
+// ending has Accept let in who has come, and then close the listener. The caller holds the lock.
+func (d *door) ending() {
+	d.by = time.Now().Add(lastMost)
+	if d.l != nil && !deadline(d.l, time.Now()) && d.closed { // else it wakes Accept
+		_ = d.l.Close()
 	}
 	d.changed()
 }
@@ -115,7 +131,7 @@
 	return nil
 }
 
-// Close implements net.Listener: the door is shut for good.
+// Close implements net.Listener: the door is shut for good. Accept lets in who has come, and then tells its end.
 func (d *door) Close() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -123,9 +139,6 @@
 		return nil
 	}
 	d.closed = true
-	d.changed()
-	if d.l != nil {
-		return d.l.Close()
-	}
+	d.ending()
 	return nil
 }
--- a/internal/gateway/door_test.go
+++ b/internal/gateway/door_test.go
@@ -84,6 +84,67 @@
 	}
 }
 
+// TestDoorCloses: who has connected when the door is shut or closed for good, and whom nobody has let in, is let in with
+// what it sent; then connections are refused, also where clients come all the time.
+func TestDoorCloses(t *testing.T) {
+	for name, end := range map[string]func(*door){"shut": (*door).Shut, "closed": func(d *door) { _ = d.Close() }} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		d := newDoor(l)
+		const many = 20
+		var clients []net.Conn
+		for i := range many {
+			c, err := net.Dial("tcp", d.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			_ = c.SetDeadline(time.Now().Add(30 * time.Second))
+			if _, err := c.Write([]byte{byte(i)}); err != nil {
+				t.Fatal(err)
+			}
+			clients = append(clients, c)
+		}
+		end(d) // nobody has accepted any
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for {
+				c, err := d.Accept()
+				if err != nil {
+					return
+				}
+				b := make([]byte, 1)
+				if _, err := c.Read(b); err == nil {
+					_, _ = c.Write(b)
+				}
+				defer func() { _ = c.Close() }()
+			}
+		}()
+		for i, c := range clients {
+			b := make([]byte, 1)
+			if _, err := c.Read(b); err != nil || b[0] != byte(i) {
+				t.Errorf("%s: client %d: %v, %v", name, i, b, err)
+			}
+		}
+		until(t, "refused", func() bool {
+			for range 10 { // without a pause
+				c, err := net.Dial("tcp", d.addr)
+				if err != nil {
+					return true
+				}
+				_, _ = c.Write([]byte{0})
+				_ = c.Close()
+			}
+			return false
+		})
+		_ = d.Close()
+		<-done
+	}
+}
+
 // TestOverlay: a member that is permitted to go out is listed as draining whatever discovery says, until it no longer is;
 // never the last usable one of its group.
 func TestOverlay(t *testing.T) {
