--- a/cmd/reachwind/overlap_test.go
+++ b/cmd/reachwind/overlap_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -346,6 +348,14 @@
 
 	next := beside(t, dir, path, socket)
 	next.Signal(syscall.SIGSTOP)
+	eventually(t, former, "the next process is stopped", func() bool {
+		tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", next.Pid()))
+		return len(tasks) > 0 && !slices.ContainsFunc(tasks, func(task string) bool {
+			text, err := os.ReadFile(task)
+			_, rest, _ := strings.Cut(string(text), ") ")
+			return err == nil && !strings.HasPrefix(rest, "T")
+		})
+	})
 	var all []peer
 	for range 12 { // it is stopped, so these are the former one's
 		all = append(all, idle())
