Begin each failed call to discovery anew in time for the six seconds, but behind a crowd

Seen: a call that was refused or that broke three times in a row fell to the pace by fleet size, 0.75 to 3 s with five gateways, up to 90 s with 300 where lists are asked for; a watch that was reset waited as long. Ruled out: patience (2.4 s is longer than the queue) and the kept connection.

Change: only a call that need not wait and is refused after 1 s or more stood in a crowd (all 171 measured refusals came at 2.0 s), and is left to the module's pace, which leaves 2 s of the 6 up to 37 gateways. An answer that need not wait ends 3.2 s after asking.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -80,11 +80,11 @@
 	demandFade = 0.995 // a request, of the work asked for: over about two hundred
 	coldShare  = 0.75  // part of the stated multiple used on a cold member, the rest for error
 
-	askFirst, askMost = 500 * time.Millisecond, 2 * time.Second // failed asks come again, at doubling spans,
+	askFirst, askMost = 500 * time.Millisecond, 1050 * time.Millisecond // refused asks come again, 2 s of 6 left,
 
 	askSpread = 30 * time.Millisecond // first asks of a fleet's restart come at this mean distance,
 
-	askEach, askEachMost = 50 * time.Millisecond, 200 * time.Millisecond // or for each front
+	askEach, askQueue, askGrow = 60 * time.Millisecond, 2 * time.Second, 4 // or so for all fronts, but for a queue
 
 	sessionMost = 4096            // sessions a group whose commits are kept while a member may lack them
 	memberMost  = 1024            // members kept; a longer list is cut
@@ -101,7 +101,7 @@
 	r := &Router{rng: rand.New(rand.NewPCG(seed, 0x656c646572)), now: never, floor: never,
 		members: map[string]*member{}, groups: map[int64]*group{}, parts: [4]float64{1, 1, 1, 1},
 		requests: map[uint64]*request{}, retries: retryMost,
-		wakeAt: never, logAt: never, sweptAt: never, askGap: max(askFirst, askEach*Time(cfg.Fronts))}
+		wakeAt: never, logAt: never, sweptAt: never, askGap: max(askFirst, askEach*Time(cfg.Fronts)-askQueue)}
 	r.tune(cfg)
 	return r, nil
 }
@@ -195,10 +195,10 @@
 			r.askAt = r.now + Time(r.rng.Float64()*float64(askSpread)*float64(r.cfg.Fronts))
 		case ListError: // jittered backoff; the old list holds
 			r.askAt = r.now + Time((0.5+r.rng.Float64())*float64(r.askGap))
-			r.askGap = min(2*r.askGap, max(askMost, r.each(askEachMost, AskPart)))
+			r.askGap = min(2*r.askGap, max(askMost, askGrow*(r.each(askEach, AskPart)-askQueue)))
 			r.spend(AskPart, false)
 		default:
-			r.askAt, r.askGap = forever, max(askFirst, r.each(askEach, AskPart))
+			r.askAt, r.askGap = forever, max(askFirst, r.each(askEach, AskPart)-askQueue)
 		}
 	}
 	named := make(map[string]bool, len(e.Members))
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -723,6 +723,41 @@
 	}
 }
 
+// TestRefusedAsksComeInTime: an ask that a crowd was before is refused after 2 s, and the next one may stand in the queue
+// as long: what lies between leaves it to be told in 6 s, however often it is refused, unless the fronts' asks alone fill
+// the queue. Then they come so late that it can empty.
+func TestRefusedAsksComeInTime(t *testing.T) {
+	const queue, told = 2 * time.Second, 6 * time.Second
+	for _, fronts := range []int{1, 5, 20, 37, 80, 300} {
+		var sum, most Time
+		for seed := range uint64(20) {
+			cfg := testConfig()
+			cfg.AskList, cfg.Fronts = true, fronts
+			r, err := New(cfg, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			g := &rig{t: t, r: r, now: time.Hour}
+			g.step(Event{Kind: ListSaved})
+			g.step(Event{Kind: ListChange}) // asked once
+			for range 6 {
+				g.step(Event{Kind: ListError})
+				at := g.now
+				for asked := false; !asked; {
+					for _, a := range g.run(20 * ms) {
+						asked = asked || a.Kind == Watch
+					}
+				}
+				sum, most = sum+g.now-at, max(most, g.now-at)
+			}
+		}
+		mean := sum / 120
+		if fronts <= 37 && most > told-2*queue-200*ms || mean < 500*ms || fronts > 37 && mean < 40*ms*Time(fronts) {
+			t.Errorf("%d fronts ask again after %v in the mean, %v at most", fronts, mean, most)
+		}
+	}
+}
+
 func TestConfigFaults(t *testing.T) {
 	tests := map[string]func(*Config){
 		"no classes":          func(c *Config) { c.Classes = nil },
--- a/internal/discovery/http.go
+++ b/internal/discovery/http.go
@@ -37,7 +37,8 @@
 	net.Conn
 	r     *bufio.Reader
 	begun bool      // of the answer that is read, some has come
-	end   time.Time // of the time for it, once it has begun
+	last  time.Time // by which it has to be whole
+	end   time.Time // the same, or sooner, once it has begun
 }
 
 func newConn(nc net.Conn) *conn {
@@ -52,7 +53,7 @@
 	if n > 0 {
 		now := time.Now()
 		if !c.begun {
-			c.begun, c.end = true, now.Add(whole)
+			c.begun, c.end = true, earlier(now.Add(whole), c.last)
 		}
 		_ = c.SetReadDeadline(earlier(c.end, now.Add(pause)))
 	}
@@ -69,6 +70,7 @@
 // ask makes a request and reads its answer, of which the first byte may take so long.
 func (c *conn) ask(request []byte, first time.Duration) (*response, error) {
 	end := time.Now().Add(first)
+	c.last = end.Add(wholeLate)
 	wait := func() {
 		c.begun = false
 		_ = c.SetDeadline(end)
