Ask again at once on a new connection where discovery closed the kept one before the call

A service that closes a connection after its answer without saying so made each call of a watch count as refused: the watch ended, and the next began after the spread, 3 s at 300 gateways. A call on a kept connection that ends within 50 ms without a byte was read by nobody; it is made once more, on a new one. TestKeptNot, seen failing without it.

--- a/internal/discovery/crossing_test.go
+++ b/internal/discovery/crossing_test.go
@@ -246,6 +246,37 @@
 	})
 }
 
+// TestKeptNot: a service that closes a connection after its answer, and does not say so, breaks no watch. One that resets
+// every connection is not asked on and on at once.
+func TestKeptNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &serve{begin: time.Now()}
+		s.answer = func(n int, _ string, conn net.Conn) {
+			if n < 2 {
+				write(conn, `{"generation":8}`)
+			}
+			if n < 4 {
+				conn.Close()
+			}
+		}
+		c := New(Config{Addr: "h:0", Version: 7, Gateways: 300}, new(told).sink, s.dial, slog.New(slog.DiscardHandler))
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go c.Run(ctx)
+		c.Watch()
+		time.Sleep(40 * time.Millisecond)
+		synctest.Wait()
+		if got, want := s.all(), "0.0?index=7&wait=0 0.0?index=8&wait=60000"; got != want {
+			t.Errorf("calls %s, want %s", got, want)
+		}
+		time.Sleep(20 * time.Millisecond)
+		synctest.Wait()
+		if got, want := s.all(), "0.0?index=7&wait=0 0.0?index=8&wait=60000 0.1?index=8&wait=60000"; got != want {
+			t.Errorf("calls %s, want %s", got, want)
+		}
+	})
+}
+
 // TestDownLogs: a service that is down for long makes a line a second at most.
 func TestDownLogs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -417,7 +417,8 @@
 
 // get makes one call on the connection kept, or on a new one.
 func (c *Client) get(ctx context.Context, target string, wait time.Duration) (*List, error) {
-	if c.conn == nil {
+	kept := c.conn != nil
+	if !kept {
 		ctx, cancel := context.WithTimeout(ctx, dialWait)
 		defer cancel()
 		nc, err := c.dial(ctx, c.addr)
@@ -437,6 +438,9 @@
 	switch {
 	case err != nil && (conn.begun || timedOut(err)):
 		return nil, &Broken{c.addr, conn.begun, err}
+	case err != nil && kept && ctx.Err() == nil && time.Since(asked) < idleLeast: // it was closed before the call, which nobody has read
+		c.hangUp()
+		return c.get(ctx, target, wait)
 	case err != nil:
 		return nil, &refusal{time.Since(asked), err}
 	case resp.status != 200:
