A process that can't count its descriptors tells the other that it holds all it may

At its limit the count itself lacks a descriptor; it told 0, and the process beside it took 95 in a hundred of the limit for both.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -282,7 +282,7 @@
 		if len(others) > 0 {
 			wait = lookTogether
 			if ticks%countEach == 0 {
-				s.board.Used(descriptors())
+				s.board.Used(descriptors(ownFolder, sockets))
 			}
 			ticks++
 		}
@@ -325,14 +325,20 @@
 	s.log.Info("handover: ending", "passed_on", s.passed.Load(), "not_passed_on", s.kept.Load())
 }
 
-// descriptors is how many this process holds.
-func descriptors() int {
-	d, err := os.Open("/proc/self/fd")
+const ownFolder = "/proc/self/fd" // a name for each descriptor that this process holds
+
+// descriptors counts those in a folder. Where it can't be read, for want of a descriptor most likely, they are all that there
+// may be: another process that is told of too few would take what is not free.
+func descriptors(folder string, most int) int {
+	d, err := os.Open(folder)
 	if err != nil {
-		return 0
+		return most
 	}
 	defer func() { _ = d.Close() }()
-	names, _ := d.Readdirnames(-1)
+	names, err := d.Readdirnames(-1)
+	if err != nil {
+		return most
+	}
 	return len(names)
 }
 
