--- a/internal/opsdoor/linger_test.go
+++ b/internal/opsdoor/linger_test.go
@@ -218,3 +218,22 @@
 	whole(t, holder)
 	gone(t, d)
 }
+
+// TestMuchAndGone: callers that send much at once and go, by an end or a reset, keep nothing, and others are answered.
+func TestMuchAndGone(t *testing.T) {
+	d, addr := open(t, 4, new(operator))
+	text := []byte("POST /v1/db-machines/m/suspend HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n" + strings.Repeat("a", 200<<10))
+	for i := range 30 {
+		nc := caller(t, addr)
+		_, _ = nc.Write(text)
+		if i%2 == 0 {
+			_ = nc.SetLinger(0)
+		}
+		_ = nc.Close()
+	}
+	nc := caller(t, addr)
+	send(t, nc, yes)
+	whole(t, nc, "HTTP/1.1 200 ")
+	_ = nc.Close()
+	gone(t, d)
+}
