--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -102,7 +102,8 @@
 
 	// A call that broke off is begun anew within a part of nearEach for each gateway, of nearMost at most, as a watch's
 	// silence leaves little time; one that was refused within what the fleet's calls take beyond the queue. After
-	// anewTimes in a row the span between two calls doubles from backLeast, up to backMost or that spread.
+	// anewTimes in a row the backoff, from the beginning of a call to the next's, doubles from backLeast up to backMost or
+	// that spread, with a jitter of a quarter.
 	nearEach  = 5 * time.Millisecond
 	nearMost  = 200 * time.Millisecond
 	anewTimes = 2
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -280,27 +280,34 @@
 	}
 }
 
-// TestFleetReturn: discovery is down for a whole fleet, and every watch ended at one moment. All of a fleet that it can
-// serve in time are told in time; of a larger one each has asked in time, and calls that fail do not keep it busy for good.
+// TestFleetReturn: discovery is down for a whole fleet, and every watch ended at one moment; or only the watches ended.
+// All of a fleet that it can serve in time are told in time, and of a larger one calls that fail do not keep it busy for good.
 func TestFleetReturn(t *testing.T) {
-	for _, how := range []string{"no dial", "refused", "503", "reset", "silent"} {
-		for _, pushed := range []bool{false, true} {
-			for _, n := range []int{1, 5, 30, 80, 300} {
-				if n > 30 && how != "refused" {
-					continue
-				}
-				t.Run(fmt.Sprintf("%s, %d, pushed %v", how, n, pushed), func(t *testing.T) {
-					f := &fleet{n: n, span: 40 * time.Second, cut: 12 * time.Second, back: 20 * time.Second, how: how, pushed: pushed}
-					f.play(t)
-					t.Logf("%d asked in time, %d told too late", f.asked, f.late)
-					if n <= 30 && (f.told != n || f.late > 0) || n == 80 && f.told != n {
-						t.Error("not told in time")
-					}
-					if f.calls > n*(4+int(f.span/max(waitLeast, time.Duration(n)*waitEach)))+4 || f.queue > time.Duration(n)*70*time.Millisecond {
-						t.Error("a herd")
-					}
-				})
+	play := func(t *testing.T, n int, how string, down time.Duration, pushed bool) {
+		t.Run(fmt.Sprintf("%s for %v, %d, pushed %v", how, down, n, pushed), func(t *testing.T) {
+			f := &fleet{n: n, span: 40 * time.Second, cut: 12 * time.Second, back: 12*time.Second + down, how: how, pushed: pushed}
+			f.play(t)
+			t.Logf("%d asked in time, %d told too late", f.asked, f.late)
+			if n <= 30 && (f.told != n || f.late > 0) || n == 80 && f.told != n {
+				t.Error("not told in time")
+			}
+			if f.calls > n*(4+int(f.span/max(waitLeast, time.Duration(n)*waitEach)))+4 || f.queue > time.Duration(n)*70*time.Millisecond {
+				t.Error("a herd")
 			}
+		})
+	}
+	for _, pushed := range []bool{false, true} {
+		for _, n := range []int{1, 5, 30} {
+			for _, how := range []string{"no dial", "refused", "503", "reset", "silent"} {
+				play(t, n, how, 8*time.Second, pushed)
+			}
+		}
+		for _, n := range []int{1, 5, 30, 80, 300} {
+			play(t, n, "reset", 0, pushed)
+			play(t, n, "silent", 0, pushed)
+		}
+		for _, n := range []int{80, 300} {
+			play(t, n, "refused", 8*time.Second, pushed)
 		}
 	}
 }
