Cold members' budget comes with time, as a credit of each gateway

Ruled out: paths round coldRoom. Every path of choose and writeTo passes room. The estimate was at fault (coldRoom, arrive): the chance had no time in it, so what a member got grew with what its group was asked for (uneven groups, repeats, writes held while no primary was known, a lull); a request turned away went again on the same draw each 50 ms; reads and writes had a whole budget each at a cold primary; usual work was divided by a list that is short while members are replaced, and held guessed costs at a fresh router.

Now each front's part accrues with time, goes as the chance of the next request, and chances add up to turns; a turn is for one attempt. Usual work and the list are averages over a minute, by class at today's costs; where clients don't mark repeats, what ended unserved is mostly taken back.

--- /dev/null
+++ b/decide/cold_test.go
@@ -0,0 +1,720 @@
+package decide
+
+import (
+	"cmp"
+	"container/heap"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// A fleet of routers before one set of members, in virtual time: routers with uneven traffic, groups with uneven
+// demand, members that crash or are replaced and come back cold, told late, clients that come again.
+
+const coldBegins = 8 * time.Second // into a day, by when costs are partly learned
+
+// coldDay is one drawn day.
+type coldDay struct {
+	routers, groups, each int // each: members of a group
+	rate                  float64
+	span                  Time
+	what                  string // "one", "group", "primary", "third", "renewed"
+	marked                bool   // clients mark what they repeat
+	seed                  uint64
+}
+
+func (d coldDay) String() string {
+	return fmt.Sprintf("%d routers, %s, marked %v, seed %d", d.routers, d.what, d.marked, d.seed)
+}
+
+type coldEvent struct {
+	at  Time
+	seq int
+	do  func()
+}
+
+type coldQueue []coldEvent
+
+func (q coldQueue) Len() int { return len(q) }
+func (q coldQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q coldQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *coldQueue) Push(x any)   { *q = append(*q, x.(coldEvent)) }
+func (q *coldQueue) Pop() any {
+	e := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return e
+}
+
+// coldMember is a machine: its answers take a class's cost, later where its queue is long, and it works off
+// capacity a second, or the part that it has when cold.
+type coldMember struct {
+	id       string
+	group    int
+	primary  bool
+	up       bool
+	capacity float64
+	started  Time
+	free     Time // when its queue is worked off
+	life     int
+	window   []coldWork // of the last FallTime
+	told     float64    // work sent while cold by those who had been told
+	could    float64    // of what it was allowed since all had been told
+	allTold  Time
+	worst    float64 // most beyond N, in roots of N with 2 for single requests taken off
+	used     float64 // work sent since all had been told
+}
+
+type coldWork struct {
+	at   Time
+	work float64
+	told bool
+}
+
+type coldRouter struct {
+	r       *Router
+	n       int
+	life    int
+	rate    float64
+	list    map[string]Member // as told
+	started map[string]Time   // the start told of each
+	wake    Time
+	calls   map[uint64]*coldCall
+	out     []Action
+}
+
+type coldCall struct {
+	class    int
+	group    int
+	session  string
+	deadline Time
+	tries    int
+	sent     map[int]*coldMember
+}
+
+type coldSim struct {
+	coldDay
+	cfg     Config
+	rng     *rand.Rand
+	now     Time
+	events  coldQueue
+	seq     int
+	ids     uint64
+	fronts  []*coldRouter
+	members []*coldMember
+	byID    map[string]*coldMember
+	demand  []float64 // of each group, summing to 1
+	mean    float64   // work of a mean request, ns
+	burst   float64
+	after   Time // nothing more crashes
+	served  int
+	refused int
+	asked   int
+	worst   float64
+	where   string
+	used    float64
+	could   float64
+}
+
+// What a request of each class of testConfig costs: reads and writes differ.
+var coldCosts = []Time{anyRead: 12 * ms, bounded: 12 * ms, session: 10 * ms, fresh: 15 * ms, once: 30 * ms, keyed: 25 * ms}
+
+func newColdSim(d coldDay) *coldSim {
+	cfg := testConfig()
+	cfg.Fronts, cfg.ColdShare, cfg.ColdTime, cfg.FallMultiple, cfg.FallTime = d.routers, 0.24, 12*time.Second, 2.5, time.Second
+	cfg.MarksRetry, cfg.MayDuplicate = d.marked, false
+	s := &coldSim{coldDay: d, cfg: cfg, rng: rand.New(rand.NewPCG(d.seed, uint64(d.routers))), now: time.Hour, burst: 1, worst: math.Inf(-1),
+		byID: map[string]*coldMember{}}
+	for range 1000 {
+		s.mean += float64(coldCosts[s.class()]) / 1000
+	}
+	all := 0.0
+	for range d.groups {
+		w := min(math.Exp(0.4*s.rng.NormFloat64()), 2)
+		s.demand = append(s.demand, w)
+		all += w
+	}
+	for i := range s.demand {
+		s.demand[i] /= all
+	}
+	load := d.rate * float64(d.routers) * s.mean / float64(d.groups*d.each) // of a member, ns a second
+	used := 0.5 + 0.4*s.rng.Float64()                                       // of the members' capacity
+	for g := range d.groups {
+		for j := range d.each {
+			s.add(&coldMember{id: fmt.Sprintf("g%d-%d", g, j), group: g, primary: j == 0, up: true, capacity: load / used})
+		}
+	}
+	all = 0
+	for n := range d.routers {
+		f := &coldRouter{n: n, rate: math.Exp(0.8 * s.rng.NormFloat64())}
+		all += f.rate
+		s.fronts = append(s.fronts, f)
+	}
+	for _, f := range s.fronts {
+		f.rate *= d.rate * float64(d.routers) / all
+		f.list, f.started = map[string]Member{}, map[string]Time{}
+		for _, m := range s.members {
+			f.list[m.id] = s.entry(m)
+		}
+		s.boot(f)
+		s.arrivals(f)
+	}
+	return s
+}
+
+func (s *coldSim) class() int {
+	switch u := s.rng.IntN(20); {
+	case u < 4:
+		return anyRead
+	case u < 8:
+		return bounded
+	case u < 14:
+		return session
+	case u < 15:
+		return fresh
+	case u < 18:
+		return anyRead
+	case u < 19:
+		return once
+	}
+	return keyed
+}
+
+func (s *coldSim) entry(m *coldMember) Member {
+	return Member{ID: m.id, Group: int64(m.group), Zone: "a", Primary: m.primary, Started: m.started}
+}
+
+func (s *coldSim) later(d Time, do func()) {
+	s.seq++
+	heap.Push(&s.events, coldEvent{s.now + d, s.seq, do})
+}
+
+// boot starts a router anew: it has the list that was told, and has learned nothing.
+func (s *coldSim) boot(f *coldRouter) {
+	cfg := s.cfg
+	cfg.Self = f.n
+	r, err := New(cfg, s.rng.Uint64())
+	if err != nil {
+		panic(err)
+	}
+	f.r, f.life, f.wake, f.calls = r, f.life+1, 0, map[uint64]*coldCall{}
+	var list []Member
+	for _, m := range f.list {
+		list = append(list, m)
+	}
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	s.step(f, Event{Kind: ListSaved, Members: list})
+}
+
+func (s *coldSim) arrivals(f *coldRouter) {
+	s.later(Time(s.rng.ExpFloat64()/(f.rate*s.burst)*float64(time.Second)), func() {
+		g, u := 0, s.rng.Float64()
+		for ; g < len(s.demand)-1 && u >= s.demand[g]; g++ {
+			u -= s.demand[g]
+		}
+		k := s.class()
+		c := &coldCall{class: k, group: g, deadline: s.now + s.cfg.Classes[k].Deadline,
+			session: fmt.Sprint("s", f.n, s.rng.IntN(40))}
+		if s.now > time.Hour+coldBegins {
+			s.asked++
+		}
+		s.call(f, c)
+		s.arrivals(f)
+	})
+}
+
+func (s *coldSim) call(f *coldRouter, c *coldCall) {
+	s.ids++
+	c.sent = map[int]*coldMember{}
+	f.calls[s.ids] = c
+	s.step(f, Event{Kind: Arrive, Request: s.ids, Class: c.class, Tenant: -1, Group: int64(c.group), Session: c.session,
+		IsRetry: c.tries > 0 && s.marked, Remaining: c.deadline - s.now})
+}
+
+// again is a client whose request came to nothing.
+func (s *coldSim) again(f *coldRouter, c *coldCall, d Time) {
+	if d += Time(s.rng.Float64() * float64(20*ms)); c.tries < 6 && s.now+d < c.deadline-50*ms {
+		c.tries++
+		s.later(d, func() { s.call(f, c) })
+	}
+}
+
+func (s *coldSim) step(f *coldRouter, e Event) {
+	f.out = f.r.Step(s.now, []Event{e}, f.out[:0])
+	for _, a := range slices.Clone(f.out) {
+		s.act(f, a)
+	}
+}
+
+func (s *coldSim) act(f *coldRouter, a Action) {
+	life := f.life
+	c := f.calls[a.Request]
+	soon := func(d Time, e Event) {
+		s.later(d, func() {
+			if f.life == life {
+				s.step(f, e)
+			}
+		})
+	}
+	switch a.Kind {
+	case Wake:
+		if f.wake = a.At; a.At > s.now {
+			s.later(a.At-s.now, func() {
+				if f.life == life && f.wake == a.At {
+					s.step(f, Event{Kind: Timer})
+				}
+			})
+		}
+	case Send:
+		no := len(c.sent)
+		m := s.byID[a.Member]
+		c.sent[no] = m
+		e := Event{Kind: Outcome, Request: a.Request, Attempt: no, Member: a.Member}
+		d := s.send(f, m, c, &e)
+		if a.Timeout > 0 && d > a.Timeout {
+			d, e = a.Timeout, Event{Kind: Outcome, Request: a.Request, Attempt: no, Member: a.Member, Result: TimedOut}
+		}
+		if e.Result == Served && s.now > time.Hour+coldBegins {
+			s.served++
+		}
+		soon(d, e)
+	case Cancel:
+		soon(0, Event{Kind: Outcome, Request: a.Request, Attempt: a.Attempt, Member: c.sent[a.Attempt].id, Result: Cancelled})
+	case Refuse:
+		s.refused++
+		s.again(f, c, min(a.After, 300*ms))
+	case Fail:
+		if s.rng.IntN(2) == 0 {
+			s.again(f, c, 50*ms)
+		}
+	case Probe:
+		m := s.byID[a.Member]
+		e := Event{Kind: Probed, Member: a.Member, Result: Unreachable}
+		if m.up {
+			e = Event{Kind: Probed, Member: a.Member, Report: Report{HasPosition: true, Position: s.position(m), HasRole: true, Role: m.role()}}
+		}
+		soon(3*ms, e)
+	}
+}
+
+func (m *coldMember) role() Role {
+	if m.primary {
+		return Primary
+	}
+	return Replica
+}
+
+func (s *coldSim) position(m *coldMember) Time {
+	if m.primary {
+		return s.now
+	}
+	return s.now - 15*ms
+}
+
+func (s *coldSim) add(m *coldMember) {
+	s.members = append(s.members, m)
+	s.byID[m.id] = m
+}
+
+// part is what m can do now of what it can do warm.
+func (s *coldSim) part(m *coldMember) float64 {
+	if m.started == 0 || s.now >= m.started+s.cfg.ColdTime {
+		return 1
+	}
+	return s.cfg.ColdShare + (1-s.cfg.ColdShare)*float64(s.now-m.started)/float64(s.cfg.ColdTime)
+}
+
+// send plays an attempt at m and returns when it ends.
+func (s *coldSim) send(f *coldRouter, m *coldMember, c *coldCall, e *Event) Time {
+	if !m.up {
+		e.Result = Unreachable
+		return ms
+	}
+	work := float64(coldCosts[c.class])
+	s.count(f, m, work)
+	if s.cfg.Classes[c.class].Writes() && !m.primary {
+		e.Result, e.Role = NotHere, Replica
+		return ms
+	}
+	m.free = max(m.free, s.now)
+	if m.free-s.now > 800*ms {
+		e.Result = Full
+		return ms
+	}
+	m.free += Time(work / (m.capacity * s.part(m)) * float64(time.Second))
+	e.Result, e.Ended, e.Role, e.Stamped, e.Position = Served, true, m.role(), true, s.position(m)
+	return max(m.free-s.now, Time(work*(0.9+0.2*s.rng.Float64())))
+}
+
+// count holds what a cold member was sent in the last FallTime against what the settings allow.
+func (s *coldSim) count(f *coldRouter, m *coldMember, work float64) {
+	part := s.part(m)
+	if part == 1 {
+		m.window = nil
+		return
+	}
+	told := f.started[m.id] == m.started
+	m.window = append(m.window, coldWork{s.now, work / s.mean, told})
+	for len(m.window) > 0 && m.window[0].at <= s.now-s.cfg.FallTime {
+		m.window = m.window[1:]
+	}
+	n := s.cfg.FallMultiple * m.capacity * part * s.cfg.FallTime.Seconds() / s.mean
+	sum := 0.0
+	for _, w := range m.window {
+		if w.told {
+			sum += w.work
+		}
+	}
+	if x := (sum - n - 2) / math.Sqrt(n); x > s.worst {
+		s.worst, s.where = x, fmt.Sprintf("%s (primary %v) %.1f s after its start: %.1f, allowed %.1f", m.id, m.primary, (s.now-m.started).Seconds(), sum, n)
+	}
+	if told && part < coldUsed {
+		s.used += work / s.mean
+	}
+}
+
+// notice tells every router of m as it is now, each in its time.
+func (s *coldSim) notice(m *coldMember, state MemberState) {
+	l := s.entry(m)
+	l.State = state
+	for _, f := range s.fronts {
+		d := 200*ms + Time(s.rng.Float64()*3.8*float64(time.Second))
+		m.allTold = max(m.allTold, s.now+d)
+		s.later(d, func() {
+			if old, ok := f.list[m.id]; ok && old.Started > l.Started || ok && old.Started == l.Started && old.State != Up && state == Up {
+				return
+			}
+			f.list[m.id], f.started[m.id] = l, l.Started
+			s.step(f, Event{Kind: ListChange, Members: []Member{l}})
+		})
+	}
+}
+
+func (s *coldSim) crash(m *coldMember, down Time) {
+	m.up = false
+	gone := s.rng.IntN(2) == 0
+	if gone {
+		s.notice(m, Removed)
+	}
+	s.later(down, func() {
+		m.up, m.started, m.free, m.window, m.allTold = true, s.now, s.now, nil, 0
+		s.notice(m, Up)
+		s.account(m)
+	})
+}
+
+// renew takes m out of the list, then down, and brings another in its place that nobody has seen.
+func (s *coldSim) renew(m *coldMember) {
+	l := *m
+	s.notice(m, Removed)
+	s.later(5*time.Second, func() { m.up = false })
+	n := &coldMember{id: l.id + "x", group: l.group, up: true, capacity: l.capacity, started: s.now, free: s.now, primary: l.primary}
+	m.primary = false
+	s.add(n)
+	s.notice(n, Up)
+	s.account(n)
+}
+
+// coldUsed is the part of what it can do up to which a cold member's budget is less than it is asked for.
+const coldUsed = 0.5
+
+// account adds up what m was allowed, in the part of those who had been told, while that was scarce.
+func (s *coldSim) account(m *coldMember) {
+	const tick = 100 * ms
+	s.later(tick, func() {
+		if part := s.part(m); part < 1 && m.up {
+			for _, f := range s.fronts {
+				if f.started[m.id] == m.started && part < coldUsed {
+					s.could += s.cfg.FallMultiple * m.capacity * part * tick.Seconds() / s.mean * f.rate / s.rate / float64(s.routers)
+				}
+			}
+			s.account(m)
+		}
+	})
+}
+
+func (s *coldSim) trouble() {
+	var hit []*coldMember
+	g := s.rng.IntN(s.groups)
+	for _, m := range s.members {
+		switch s.what {
+		case "one":
+			if m.group == g && !m.primary && len(hit) == 0 {
+				hit = append(hit, m)
+			}
+		case "primary":
+			if m.group == g && m.primary {
+				hit = append(hit, m)
+			}
+		case "group":
+			if m.group == g {
+				hit = append(hit, m)
+			}
+		default:
+			if s.rng.IntN(3) == 0 || s.what == "renewed" && s.rng.IntN(2) == 0 {
+				hit = append(hit, m)
+			}
+		}
+	}
+	if len(hit) == 0 {
+		hit = s.members[:1]
+	}
+	for _, m := range hit {
+		if s.what == "renewed" {
+			s.later(Time(s.rng.Float64()*6*float64(time.Second)), func() { s.renew(m) })
+		} else {
+			s.crash(m, time.Second+Time(s.rng.Float64()*3*float64(time.Second)))
+		}
+	}
+}
+
+func (s *coldSim) run() {
+	s.later(coldBegins, s.trouble)
+	for _, f := range s.fronts { // a third of the routers start anew meanwhile
+		if s.rng.IntN(3) == 0 {
+			s.later(coldBegins-2*time.Second+Time(s.rng.Float64()*12*float64(time.Second)), func() { s.boot(f) })
+		}
+	}
+	s.later(coldBegins+2*time.Second+Time(s.rng.Float64()*5*float64(time.Second)), func() {
+		s.burst = 1.5
+		s.later(3*time.Second, func() { s.burst = 1 })
+	})
+	for end := s.now + coldBegins + s.span; len(s.events) > 0 && s.events[0].at < end; {
+		e := heap.Pop(&s.events).(coldEvent)
+		s.now = e.at
+		e.do()
+	}
+}
+
+// What all routers that have been told of a member's start send it while it is cold stays within N + 2 x root of N + 2
+// in any FallTime, whatever the fleet's size, whoever is asked for what, and however often clients come again.
+func TestColdFleet(t *testing.T) {
+	for _, size := range []struct {
+		routers, groups, each int
+		rate                  float64
+		span                  Time // from the trouble on
+	}{{1, 3, 3, 250, 12 * time.Second}, {6, 3, 3, 25, 15 * time.Second}, {20, 3, 4, 25, 15 * time.Second},
+		{30, 4, 4, 25, 15 * time.Second}, {300, 12, 5, 10, 6 * time.Second}} {
+		for i, what := range []string{"one", "primary", "group", "third", "renewed"} {
+			if size.routers == 300 && i < 4 && *coldSeeds == 1 {
+				continue
+			}
+			worst, used, could, served, asked := math.Inf(-1), 0.0, 0.0, 0, 0
+			for n := range *coldSeeds {
+				d := coldDay{routers: size.routers, groups: size.groups, each: size.each, rate: size.rate, span: size.span,
+					what: what, marked: (n+i)%2 == 0, seed: uint64(100*n + i)}
+				s := newColdSim(d)
+				s.run()
+				worst, used, could = max(worst, s.worst), used+s.used, could+s.could
+				served, asked = served+s.served, asked+s.asked
+				if s.worst > 2 {
+					t.Errorf("%v: %.2f roots of N beyond N + 2: %s", d, s.worst, s.where)
+				}
+				if s.could == 0 || s.used == 0 {
+					t.Errorf("%v: nothing sent to cold members", d)
+				}
+			}
+			t.Logf("%d routers, %s: at most %.2f roots of N beyond N + 2, used %.2f of N, served %.3f", size.routers, what, worst, used/could,
+				float64(served)/float64(asked))
+		}
+	}
+}
+
+// coldSeeds times as many days are drawn.
+var coldSeeds = flag.Int("coldseeds", 1, "days of TestColdFleet, times")
+
+// Where more was sent to a cold member than its budget, one cause each, at one front: three groups of three, 100
+// requests a second for 10 s; then some members start anew, and what is
+// sent in the next 2 s is counted.
+func TestColdRamp(t *testing.T) {
+	const usual = 100.0 / 9 // requests a second of a member
+	for _, c := range []struct {
+		name        string
+		cold        []string // started anew then
+		gone        []string // left the list a second before
+		held        int      // writes of the group that came just before
+		reads, rest int      // of group 0, and of the others, a second from then on
+		writes      int      // of group 0
+		again       bool     // what is refused comes again
+		unmarked    bool     // by clients that don't say so
+		fresh       bool     // the front too starts anew
+		lull        Time     // nobody asks for so long first
+		full        bool     // cold ones turn away what they are sent
+	}{
+		{name: "held writes", cold: []string{"00"}, gone: []string{"00"}, held: 60, reads: 25, rest: 60, writes: 5},
+		{name: "a group asked for more", cold: []string{"01", "02"}, reads: 240, rest: 60, writes: 5},
+		{name: "repeats", cold: []string{"00", "01", "02"}, reads: 100, rest: 60, writes: 30, again: true},
+		{name: "unmarked repeats", cold: []string{"00", "01", "02"}, reads: 100, rest: 60, writes: 30, again: true, unmarked: true},
+		{name: "reads and writes", cold: []string{"00", "01", "02"}, reads: 60, rest: 60, writes: 60},
+		{name: "a short list", cold: []string{"01"}, gone: []string{"10", "11", "12", "20", "21", "22"}, reads: 90, writes: 5},
+		{name: "a fresh front", cold: []string{"00", "01", "02"}, reads: 60, rest: 60, writes: 10, fresh: true},
+		{name: "a fresh front, unmarked repeats", cold: []string{"00", "01", "02"}, reads: 60, rest: 30, writes: 10, fresh: true, again: true, unmarked: true},
+		{name: "after a lull", cold: []string{"01", "02"}, reads: 200, rest: 60, writes: 5, lull: 7 * time.Second},
+		{name: "turned away", cold: []string{"00", "01", "02"}, reads: 60, rest: 60, writes: 30, full: true, again: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newColdPlay(t, c.full, c.again, !c.unmarked)
+			for range 10 * 100 {
+				p.pass(10 * ms)
+				p.request(p.rng.Int64N(3), p.rng.IntN(6) == 0)
+			}
+			for _, id := range c.gone {
+				p.list(Member{ID: id, Group: int64(id[0] - '0'), Primary: id[1] == '0', State: Removed})
+			}
+			p.pass(time.Second)
+			for range c.held {
+				p.request(0, true)
+			}
+			if c.fresh {
+				p.boot()
+			}
+			for _, id := range c.cold {
+				p.list(Member{ID: id, Group: int64(id[0] - '0'), Primary: id[1] == '0', Started: p.g.now})
+			}
+			p.pass(c.lull)
+			p.sent = map[string]int{}
+			for range 2 * 500 {
+				p.pass(2 * ms)
+				switch u := p.rng.IntN(500); {
+				case u < c.reads:
+					p.request(0, false)
+				case u < c.reads+c.writes:
+					p.request(0, true)
+				case u < c.reads+c.writes+c.rest:
+					p.request(1+p.rng.Int64N(2), p.rng.IntN(6) == 0)
+				}
+			}
+			cfg := &p.g.r.cfg // at the end, so the most that was allowed
+			n := usual * cfg.FallMultiple * cfg.FallTime.Seconds() * (cfg.ColdShare + (1-cfg.ColdShare)*(2+c.lull.Seconds())/cfg.ColdTime.Seconds())
+			all := 0
+			for _, id := range c.cold {
+				t.Logf("%s: %d sent, %.1f allowed", id, p.sent[id], n)
+				all += p.sent[id]
+				if float64(p.sent[id]) > n+2*math.Sqrt(n)+2 {
+					t.Errorf("%s was sent %d, allowed %.1f", id, p.sent[id], n)
+				}
+			}
+			if all == 0 {
+				t.Error("nothing was sent")
+			}
+		})
+	}
+}
+
+// coldPlay is one router and members that answer after 20 ms.
+type coldPlay struct {
+	g                   *rig
+	rng                 *rand.Rand
+	members             map[string]Member
+	sent                map[string]int
+	id                  uint64
+	full, again, marked bool
+	writes              map[uint64]bool
+	groups              map[uint64]int64
+	due                 []coldDue
+}
+
+type coldDue struct {
+	at    Time
+	e     Event
+	group int64 // of a repeat
+	write bool
+}
+
+func newColdPlay(t *testing.T, full, again, marked bool) *coldPlay {
+	p := &coldPlay{g: &rig{t: t, now: time.Hour}, rng: rand.New(rand.NewPCG(5, 5)), members: map[string]Member{},
+		sent: map[string]int{}, full: full, again: again, marked: marked,
+		writes: map[uint64]bool{}, groups: map[uint64]int64{}}
+	for n := range 9 {
+		m := Member{ID: fmt.Sprintf("%d%d", n/3, n%3), Group: int64(n / 3), Zone: "a", Primary: n%3 == 0}
+		p.members[m.ID] = m
+	}
+	p.boot()
+	return p
+}
+
+// boot puts a new router in the place of the one before.
+func (p *coldPlay) boot() {
+	cfg := testConfig()
+	cfg.Fronts, cfg.MarksRetry = 1, p.marked
+	r, err := New(cfg, 9)
+	if err != nil {
+		p.g.t.Fatal(err)
+	}
+	var list []Member
+	for n := range 9 {
+		list = append(list, p.members[fmt.Sprintf("%d%d", n/3, n%3)])
+	}
+	p.g.r, p.due = r, nil
+	p.g.step(Event{Kind: ListFull, Members: list})
+}
+
+func (p *coldPlay) list(m Member) {
+	m.Zone = "a"
+	p.members[m.ID] = m
+	p.act(p.g.step(Event{Kind: ListChange, Members: []Member{m}}))
+}
+
+func (p *coldPlay) request(group int64, write bool) { p.try(group, write, false) }
+
+func (p *coldPlay) try(group int64, write, again bool) {
+	p.id++
+	class := anyRead
+	if write {
+		class = keyed
+	}
+	p.writes[p.id], p.groups[p.id] = write, group
+	p.act(p.g.step(Event{Kind: Arrive, Request: p.id, Class: class, Tenant: -1, Group: group, Session: "u", IsRetry: again && p.marked, Remaining: 2 * time.Second}))
+}
+
+// pass lets time go by, and gives the answers that are due.
+func (p *coldPlay) pass(d Time) {
+	for end := p.g.now + d; p.g.now < end; {
+		p.g.now += ms
+		p.act(p.g.step(Event{Kind: Timer}))
+		for len(p.due) > 0 && p.due[0].at <= p.g.now {
+			x := p.due[0]
+			if p.due = p.due[1:]; x.e.Kind == Arrive {
+				p.try(x.group, x.write, true)
+			} else {
+				p.act(p.g.step(x.e))
+			}
+		}
+	}
+}
+
+func (p *coldPlay) act(as []Action) {
+	for _, a := range slices.Clone(as) {
+		switch a.Kind {
+		case Send:
+			p.sent[a.Member]++
+			m := p.members[a.Member]
+			e := Event{Kind: Outcome, Request: a.Request, Member: m.ID, Role: Replica, Stamped: true, Position: p.g.now, Ended: true}
+			e.Attempt = len(p.g.r.requests[a.Request].attempts) - 1
+			if m.Primary {
+				e.Role = Primary
+			}
+			if p.writes[a.Request] && !m.Primary {
+				e.Result, e.Ended = NotHere, false
+			} else if p.full && m.Started != 0 {
+				e.Result, e.Ended = Full, false
+			}
+			p.wait(20*ms, coldDue{e: e})
+		case Refuse:
+			if p.again {
+				p.wait(50*ms, coldDue{e: Event{Kind: Arrive}, group: p.groups[a.Request], write: p.writes[a.Request]})
+			}
+		}
+	}
+}
+
+func (p *coldPlay) wait(d Time, x coldDue) {
+	x.at = p.g.now + d
+	i, _ := slices.BinarySearchFunc(p.due, x, func(a, b coldDue) int { return cmp.Compare(a.at, b.at+1) })
+	p.due = slices.Insert(p.due, i, x)
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -43,7 +43,6 @@
 
 	shedAim, shedSteep = 0.38, 3.0 // above this part of their aim reads stay away by chance, 7 in 8 at twice it
 
-	luckShift  = 1e3 // of a request's luck, for a second chance that owes nothing to the first
 	spareShare = 0.5 // reads spill to a primary under this part of its limit
 
 	silentTimes, silentFew = 5.0, 2.0 // overdue by so many times what is usual is silence, more so with few out
@@ -77,8 +76,10 @@
 
 	askWait, askTimes = 30 * time.Millisecond, 2 // a read waits so long for a probe of its own, at most so often
 
-	demandFade = 0.995 // a request, of the work asked for: over about two hundred
-	coldShare  = 0.75  // part of the stated multiple used on a cold member, the rest for error
+	coldShare = 0.75 // part of the stated multiple used on a cold member, the rest for error
+
+	// credit at a cold member is kept for this part of FallTime, or of the first request, or so many mean gaps
+	coldSave, coldFirst, coldGaps = 0.125, 0.5, 2.0
 
 	askFirst, askMost = 500 * time.Millisecond, 2 * time.Second // failed asks come again, at doubling spans,
 
@@ -258,6 +259,7 @@
 		}
 	}
 	m.Member = l
+	m.ramp.open(l.Started, r.now, r.rng)
 	m.gone = l.State == Removed && !r.cfg.OnlyDrainBinds
 	if l.Primary && l.State == Up {
 		at := r.now - listLag
@@ -345,11 +347,9 @@
 	r.requests[q.id] = q
 	r.open = append(r.open, q)
 	r.retries = min(retryMost, r.retries+retryEarn)
-	r.usual, r.reads, r.writes = r.usual*demandFade, r.reads*demandFade, r.writes*demandFade
-	*r.demand(k) += k.cost
+	r.asked(k, !e.IsRetry)
 	worth := k.Worth * r.share(e.Tenant)
 	if !e.IsRetry {
-		r.usual += k.cost
 		k.longest = max(k.longest, e.Remaining)
 	} else if e.Remaining < k.longest-clockSlack { // its wait is what the deadline leaves: so long ago it began
 		q.aim -= max(0, k.Deadline-e.Remaining)
@@ -427,6 +427,7 @@
 }
 
 func (r *Router) end(q *request) {
+	r.unserved(q)
 	q.ended = true
 	if q.out == 0 {
 		delete(r.requests, q.id)
@@ -873,23 +874,22 @@
 	return m.Started != 0 && r.now < m.Started+r.cfg.ColdTime
 }
 
-// coldRoom keeps to a cold member's budget: of one each front may ask the cold part of what is usual. In a
-// large fleet this is less than one of its requests, so each has its chance by itself, and what all send adds
-// up. The cold members of a group share the chance out, as two drawn apart would often both miss.
+// coldRoom keeps to a cold member's budget: each front asks of one the cold part of what is usual, and what
+// all send adds up. It comes with time and is not kept, so repeats, held requests or a group asked for more
+// get no more. Where it is less than a request, each takes what there is as its chance, and chances add up.
 func (r *Router) coldRoom(m *member, q *request) bool {
-	luck := q.luck * luckShift
-	for _, o := range m.group.members {
-		part := r.cfg.ColdShare + (1-r.cfg.ColdShare)*float64(r.now-o.Started)/float64(max(r.cfg.ColdTime, 1))
-		budget := r.usual / max(1, r.inList) * part * r.cfg.FallMultiple * coldShare
-		chance := budget / max(1, *r.demand(q.class)) * float64(len(r.order))
-		if o == m {
-			return r.spend(ColdPart, luck-math.Floor(luck) < chance*r.parts[ColdPart])
-		}
-		if r.cold(o) && !o.gone && !q.class.Writes() {
-			luck -= chance
-		}
+	p, sent := q.group.primary(), q.sentTo(m)
+	if t, drawn := q.turns[m]; drawn && t.sent == sent { // an attempt uses its turn
+		return t.yes
+	} else if q.class.Writes() && m != p && !q.group.leaderless(p) { // hopeless asks too
+		return false
 	}
-	return false
+	part := r.cfg.ColdShare + (1-r.cfg.ColdShare)*float64(r.now-m.Started)/float64(max(r.cfg.ColdTime, 1))
+	rate := r.usual() * part * r.cfg.FallMultiple * coldShare * r.parts[ColdPart]
+	m.ramp.add(r.now, rate, float64(r.cfg.FallTime))
+	yes := m.ramp.turn(q.class.cost, !q.hasTurn())
+	q.took(m, turn{sent, yes})
+	return r.spend(ColdPart, yes)
 }
 
 // The sweep: deadlines, silence, rescue, probing and asking.
--- a/decide/state.go
+++ b/decide/state.go
@@ -1,6 +1,10 @@
 package decide
 
-import "math/rand/v2"
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
 
 // Router decides for one front. See [New] and [Router.Step].
 type Router struct {
@@ -20,9 +24,9 @@
 	lossy               float64           // part of the attempts lately whose answers were lost
 	waits               int               // requests held
 	replicas, primaries alike             // what little is known of one is taken from
-	usual               float64           // work of first tries, fading by requests
-	reads, writes       float64           // work asked for, fading as usual does
 	inList              float64           // members in the list
+	listedFor           float64           // and the sum over time, in ns, fading
+	askedAt             Time              // last request
 	floor               Time              // newest commit in a group that has been forgotten
 	parts               [4]float64        // what may be used of each shared budget, 1 = this front's own part
 	granted, denied     [4]float64        // of what was asked of them, see Wanted
@@ -38,6 +42,7 @@
 	Class
 	cost    float64 // SELF's execution time, in ns
 	longest Time    // longest wait a first try came with
+	firsts  float64 // first tries, fading
 }
 
 // member is what this front knows of one member.
@@ -67,6 +72,7 @@
 	errors             float64 // part of its answers that are errors
 	erredAt            Time    // last error in it
 	ghosts             []spent // work called off that may still run, until then
+	ramp               ramp
 }
 
 // alike is what members of the same role have in common.
@@ -116,6 +122,7 @@
 	riskZone               string
 	ended, streaming       bool
 	away                   map[*member]Time // members that turned it away, and until when they are left out
+	turns                  map[*member]turn // at cold members
 }
 
 type attempt struct {
@@ -176,15 +183,118 @@
 	case k.Class == *c:
 		return k
 	}
-	return &class{Class: *c, cost: k.cost, longest: k.longest}
+	return &class{Class: *c, cost: k.cost, longest: k.longest, firsts: k.firsts}
 }
 
-// demand is the work asked for of k's kind.
-func (r *Router) demand(k *class) *float64 {
-	if k.Writes() {
-		return &r.writes
+// What a member usually gets is an average over so long, as surges and repeats are not usual, and over no less for
+// fresh fronts. Where clients don't mark repeats, what isn't served mostly comes again, at a guess.
+const (
+	usualSpan, usualLeast = time.Minute, time.Second
+	comesAgain            = 0.9
+)
+
+// asked counts a request of k towards what is usual.
+func (r *Router) asked(k *class, first bool) {
+	if r.askedAt == 0 {
+		r.askedAt = r.now
+	}
+	span := r.now - r.askedAt
+	fade := math.Exp(-float64(span) / float64(usualSpan))
+	for _, o := range r.classes {
+		o.firsts *= fade
+	}
+	r.askedAt, r.listedFor = r.now, r.listedFor*fade+r.inList*float64(span)
+	if first {
+		k.firsts++
+	}
+}
+
+// unserved takes back a request that ends without an answer, where it may come again as another first try.
+func (r *Router) unserved(q *request) {
+	if !q.ended && !r.cfg.MarksRetry {
+		q.class.firsts = max(0, q.class.firsts-comesAgain)
+	}
+}
+
+// usual is the work of first tries here for each member and time, as costs are known now.
+func (r *Router) usual() float64 {
+	work := 0.0
+	for _, k := range r.classes {
+		work += k.firsts * k.cost
+	}
+	return work / max(r.listedFor, max(r.inList, float64(len(r.members)), 1)*float64(usualLeast))
+}
+
+// turn is whether a request had its turn at a cold member, with so many attempts sent there before.
+type turn struct {
+	sent int
+	yes  bool
+}
+
+// sentTo is the number of attempts of q at m.
+func (q *request) sentTo(m *member) (n int) {
+	for _, a := range q.attempts {
+		if a.m == m {
+			n++
+		}
+	}
+	return n
+}
+
+func (q *request) took(m *member, t turn) {
+	if q.turns == nil {
+		q.turns = map[*member]turn{}
+	}
+	q.turns[m] = t
+}
+
+// hasTurn tells that q has a turn which it did not use.
+func (q *request) hasTurn() bool {
+	for m, t := range q.turns {
+		if t.yes && t.sent == q.sentTo(m) {
+			return true
+		}
+	}
+	return false
+}
+
+// ramp is what this front may send a cold member: its slow start.
+type ramp struct {
+	started, opened, at Time // of this start of the member, when it was told, and up to the last request
+	requests            float64
+	credit              float64 // work that may be sent
+	chances             float64 // of requests for which there was less than their work, up to a turn
+}
+
+// open begins anew when the member did. A seeded first rest keeps fronts from taking their turns together.
+func (c *ramp) open(started, now Time, rng *rand.Rand) {
+	if started > c.started {
+		*c = ramp{started: started, opened: now, at: now, chances: rng.Float64()}
+	}
+}
+
+// add brings the credit up to now. What is not used goes after a while: kept, all fronts might use it at once.
+func (c *ramp) add(now Time, rate, fall float64) {
+	save := coldFirst * fall
+	if c.requests > 0 {
+		save = max(coldSave*fall, coldGaps*float64(now-c.opened)/c.requests)
+	}
+	c.credit = min(c.credit+rate*float64(now-c.at), rate*save)
+	c.at = now
+	c.requests++
+}
+
+// turn takes the credit as a chance of a request, and tells whether chances have come to one of it; with may false
+// it is left to the next.
+func (c *ramp) turn(cost float64, may bool) bool {
+	chance := min(1, c.credit/max(cost, 1))
+	c.credit -= chance * cost
+	c.chances = min(c.chances+chance, 2)
+	if !may || c.chances < 1 {
+		return false
 	}
-	return &r.reads
+	c.chances--
+	return true
 }
 
 // leastCost is the cost of the cheapest class.
