--- a/decide/decide.go
+++ b/decide/decide.go
@@ -81,11 +81,11 @@
 	// credit at a cold member is kept for this part of FallTime, or of the first request, or so many mean gaps
 	coldSave, coldFirst, coldGaps = 0.125, 0.5, 2.0
 
-	askFirst, askMost = 500 * time.Millisecond, 1050 * time.Millisecond // refused asks come again, 2 s of 6 left,
+	askFirst, askMost = 500 * time.Millisecond, 1050 * time.Millisecond // refused asks come again
 
 	askSpread = 30 * time.Millisecond // first asks of a fleet's restart come at this mean distance,
 
-	askEach, askQueue, askGrow = 60 * time.Millisecond, 2 * time.Second, 4 // or so for all fronts, but for a queue
+	askEach, askQueue, askGrow = 60 * time.Millisecond, 2 * time.Second, 4 // or so for all, less a queue
 
 	sessionMost = 4096            // sessions a group whose commits are kept while a member may lack them
 	memberMost  = 1024            // members kept; a longer list is cut
