A shutdown waits 50 ms for connections that linger, not a second

What is under way when a connection is half-closed comes within milliseconds; the end itself needs no process any more.

TestLingerBounds hangs with the longer wait. Run 50 times under -race, green: TestCloseCrossed, TestLingerBounds, TestLastCall, TestStopCrosses, TestShutdownWithHangingMembers, TestPlan, TestBacklog, TestSignals, and restfront's.

--- a/internal/pgfront/close_test.go
+++ b/internal/pgfront/close_test.go
@@ -217,7 +217,20 @@
 	s.Handle(far)
 	_, _ = near.Write(pgwire.Append(pgwire.AppendStartup(nil, "app", "shop"), 'X'))
 	ended(near)
-	s.Shutdown() // its client stays
+	for len(lingers()) > 0 { // its client stays
+		runtime.Gosched()
+	}
+	// Nor does one that stays hold up a shutdown.
+	s, _ = newServer(f, 1)
+	s.conf.RefuseWait = time.Hour
+	near, far = pair(t)
+	s.Handle(far)
+	_, _ = near.Write(append(pgwire.AppendStartup(nil, "app", "shop"), query("")...))
+	s.Shutdown()
+	if n := len(lingers()); n != 1 || s.Open() > 0 {
+		t.Errorf("%d linger, %d open", n, s.Open())
+	}
+	ended(near)
 }
 
 // TestLastCall: in the last moments of a shutdown a command that has begun is not waited for, wherever its client
--- a/internal/pgfront/server.go
+++ b/internal/pgfront/server.go
@@ -65,7 +65,8 @@
 	closing  bool
 	passing  bool // closing for good,
 	last     bool // and in its last moments
-	working  int  // goroutines of connections
+	working  int  // goroutines of connections,
+	lingers  int  // those among them that only wait for their client
 	ended    sync.Cond
 
 	refused, closed, broken, full, short often.Line
@@ -153,7 +154,7 @@
 		if !began {
 			_ = c.fatal(pgwire.TooManyConnections, "too many connections", c.comeBack())
 		}
-		s.lingers(c)
+		s.seeOff(c)
 	})
 }
 
@@ -178,14 +179,19 @@
 	s.drop(c)
 	s.lingered = append(s.lingered, c.Conn.Conn)
 	s.mu.Unlock()
-	s.lingers(c)
+	s.seeOff(c)
 }
 
-// lingers closes a connection that is among the lingered.
-func (s *Server) lingers(c *conn) {
+// seeOff closes a connection that is among the lingered.
+func (s *Server) seeOff(c *conn) {
+	s.mu.Lock()
+	s.lingers++
+	s.ended.Broadcast()
+	s.mu.Unlock()
 	wake.Linger(c.Conn.Conn, time.Now().Add(s.conf.RefuseWait), lingerMost)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.lingers--
 	s.lingered = slices.DeleteFunc(s.lingered, func(nc net.Conn) bool { return nc == c.Conn.Conn })
 }
 
@@ -356,17 +362,34 @@
 }
 
 // Shutdown ends connections as they fall idle, answers what was taken, and
-// returns when none is left, nor lingers.
+// returns when none is left. For those that linger it waits lastLinger: what was under way when they were ended has come
+// by then, and clients that do not look at a connection at rest for long would hold up the next process.
 func (s *Server) Shutdown() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closing, s.passing = true, true
 	s.tell(message{stop: true})
-	for s.working > 0 {
-		s.ended.Wait()
+	over := false
+	for s.working > s.lingers || s.lingers > 0 && !over {
+		if s.working > s.lingers {
+			s.ended.Wait()
+			continue
+		}
+		late := time.AfterFunc(lastLinger, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			over = true
+			s.ended.Broadcast()
+		})
+		for s.working == s.lingers && s.lingers > 0 && !over {
+			s.ended.Wait()
+		}
+		late.Stop()
 	}
 }
 
+const lastLinger = 50 * time.Millisecond // more than a request is under way to the gateway
+
 // LastCall is for the last moments of a Shutdown: commands that are whole are answered, but the rest of one that has
 // begun is not waited for any longer. Whoever sends it then finds the connection ended.
 func (s *Server) LastCall() {
--- a/internal/restfront/server.go
+++ b/internal/restfront/server.go
@@ -139,12 +139,15 @@
 // Addr is where it listens.
 func (s *Server) Addr() string { return s.l.Addr().String() }
 
-// Shutdown takes no more connections, answers what was taken for as long as ctx lasts, and ends.
+// Shutdown takes no more connections, answers what was taken for as long as ctx lasts, and ends. It waits a moment for
+// connections that linger.
 func (s *Server) Shutdown(ctx context.Context) {
 	if s.http.Shutdown(ctx) != nil {
 		_ = s.http.Close()
 	}
 	s.done.Wait()
+	ctx, cancel := context.WithTimeout(ctx, lastLinger)
+	defer cancel()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer context.AfterFunc(ctx, func() {
@@ -171,9 +174,10 @@
 }
 
 const (
-	lingerWait  = time.Second // for a client whose connection has ended to close it
-	lingerMost  = 1 << 20     // bytes that are read of it meanwhile
-	refusedMost = 4           // connections beyond the limit that are being refused, and linger
+	lingerWait  = time.Second           // for a client whose connection has ended to close it
+	lingerMost  = 1 << 20               // bytes that are read of it meanwhile
+	lastLinger  = 50 * time.Millisecond // for all of them at a shutdown: more than a request is under way
+	refusedMost = 4                     // connections beyond the limit that are being refused, and linger
 	refusal     = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
 )
 
