--- a/internal/pgfront/cancel.go
+++ b/internal/pgfront/cancel.go
@@ -25,8 +25,9 @@
 
 // cancels is what the server keeps of cancel requests. The keys themselves stand with their connections.
 type cancels struct {
-	lastPID        uint32 // under the server's lock
-	taken, unknown often.Line
+	lastPID uint32 // under the server's lock
+
+	taken, unknown, ahead often.Line
 }
 
 // newKey gives a connection its key and returns it as BackendKeyData has it. A connection that another process passed on
@@ -131,6 +132,7 @@
 	}
 	if c.s.ahead.Add(int64(more)) > aheadMost {
 		c.s.ahead.Add(-int64(more))
+		c.s.cancels.ahead.Info(c.s.log, "clients send far ahead: no room to read on")
 		return false
 	}
 	c.resize(2 * more)
