A member's connection that makes room has ended before the next one is dialled

Seen: with 4 descriptors for member connections 5 to 8 were held at once (TestEvictWithinLimit, red without the change): the evicted connection was told to close and the new one dialled in the same step. Ruled out: counting, the pool's count of open connections held. Change: the member that wants it waits for the evicted one's end. Idle clients at the limit with discovery down leave no descriptors for such an overshoot.

--- a/internal/pgmember/conn.go
+++ b/internal/pgmember/conn.go
@@ -54,6 +54,8 @@
 	since core.Time // idle since
 	used  bool      // some answer came on it
 
+	roomFor *member // the pool's: told to end so that a connection to this member may be made; nil: not for one
+
 	// What bounds the write of a statement. The owner may change it while the write is on.
 	mu      sync.Mutex
 	sendBy  core.Time // nothing is written after, 0 = no bound
--- a/internal/pgmember/pool.go
+++ b/internal/pgmember/pool.go
@@ -64,6 +64,7 @@
 	busy     []*conn
 	waiting  []*job
 	making   int // connections being made
+	room     int // connections to other members that end so that one to this may be made
 }
 
 // job is an attempt or a probe.
@@ -100,7 +101,7 @@
 // to call.
 func (p *Pool) Limit(most int) {
 	p.most = most
-	for n := p.open - most; n > 0 && p.evict(); n-- {
+	for n := p.open - most; n > 0 && p.evict(nil); n-- {
 	}
 }
 
@@ -230,10 +231,12 @@
 
 // make opens connections for the jobs that wait, within the limit of descriptors.
 func (p *Pool) make(m *member) {
-	for m.making < len(m.waiting) {
-		if p.open >= p.most && !p.evict() {
-			p.short.Warn(p.log, "out of member connections", "open", p.open, "member", m.id)
-			p.finish(m.waiting[len(m.waiting)-1], core.Outcome{Result: decide.NotSent})
+	for m.making+m.room < len(m.waiting) {
+		if p.open >= p.most { // the descriptor is another's until that one has ended
+			if !p.evict(m) {
+				p.short.Warn(p.log, "out of member connections", "open", p.open, "member", m.id)
+				p.finish(m.waiting[len(m.waiting)-1], core.Outcome{Result: decide.NotSent})
+			}
 			continue
 		}
 		m.making++
@@ -242,8 +245,9 @@
 	}
 }
 
-// evict closes the connection that has been idle longest and tells whether there was one.
-func (p *Pool) evict() bool {
+// evict closes the connection that has been idle longest and tells whether there was one. Once it has ended there is room
+// for one to the given member, if any.
+func (p *Pool) evict(to *member) bool {
 	var oldest *conn
 	for _, m := range p.members {
 		if len(m.idle) > 0 && (oldest == nil || m.idle[0].since < oldest.since) {
@@ -254,6 +258,9 @@
 		return false
 	}
 	oldest.m.idle = oldest.m.idle[1:]
+	if oldest.roomFor = to; to != nil {
+		to.room++
+	}
 	oldest.close()
 	return true
 }
@@ -262,7 +269,7 @@
 // members that have left for good: their like come under ever new ids.
 func (p *Pool) sweep() {
 	for id, m := range p.members {
-		if m.left && m.unwanted != 0 && len(m.idle)+len(m.busy)+len(m.waiting)+m.making == 0 {
+		if m.left && m.unwanted != 0 && len(m.idle)+len(m.busy)+len(m.waiting)+m.making+m.room == 0 {
 			delete(p.members, id)
 			continue
 		}
@@ -340,6 +347,10 @@
 			p.start(o.job)
 		}
 	}
+	if to := c.roomFor; to != nil {
+		to.room--
+		p.make(to)
+	}
 	p.make(m)
 }
 
@@ -350,7 +361,7 @@
 	m.making--
 	p.open--
 	p.failing.Info(p.log, "member connect failed", "member", m.id, "result", int(result), "err", err)
-	for len(m.waiting) > m.making {
+	for len(m.waiting) > m.making+m.room {
 		p.finish(m.waiting[0], core.Outcome{Result: result})
 	}
 }
