Connections passed on above the limit make room; a pipe in the file's place holds up no SIGHUP

Seen: TestAdoptedMakeRoom, red without the change: as many idle connections as may be adopted kept each newcomer refused for up to 2.5 s, as one made room at a time. A refusal now has as many idle ones leave as are above the limit. Opening a FIFO in the configuration's place blocked all later reloads, by reading; it is opened without waiting. 'accept failed' is one line a second.

--- a/internal/gateway/retune.go
+++ b/internal/gateway/retune.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"strings"
+	"syscall"
 	"time"
 
 	"reachwind/internal/pgmember"
@@ -22,7 +23,7 @@
 
 // reread reads the file that SIGHUP means, strictly: it must hold all that the file of the start held. It changes nothing.
 func (g *running) reread() (*retuning, error) {
-	f, err := os.Open(g.o.Path)
+	f, err := os.OpenFile(g.o.Path, os.O_RDONLY|syscall.O_NONBLOCK, 0) // a pipe without a writer would keep all later SIGHUPs waiting
 	if err != nil {
 		return nil, fmt.Errorf("%w; nothing was taken: put the file there, readable, and send SIGHUP again", err)
 	}
--- a/internal/pgfront/server.go
+++ b/internal/pgfront/server.go
@@ -74,7 +74,7 @@
 	cancels cancels
 	ahead   atomic.Int64 // bytes that readers hold beyond their usual size
 
-	refused, closed, broken, full, short often.Line
+	refused, closed, broken, full, short, failing often.Line
 }
 
 // silentLeast is how long a connection that has sent nothing is left alone while others are idle: clients send
@@ -117,7 +117,7 @@
 			return nil
 		}
 		if err != nil { // out of descriptors, most likely: clients wait in the backlog meanwhile
-			s.log.Warn("accept failed", "err", err)
+			s.failing.Warn(s.log, "accept failed", "err", err)
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
@@ -137,6 +137,14 @@
 	case s.refusing < (s.conf.Spare+1)/2:
 		s.refusing++
 		c.refuse = true
+		stay := 0 // where another process passed on more than may be, the idle ones make room for the next
+		for c := range s.conns {
+			if !c.leaving {
+				stay++
+			}
+		}
+		for ; stay >= s.most && s.makeRoom(); stay-- {
+		}
 		s.refused.Warn(s.log, "client refused: too many connections", "open", len(s.conns))
 	default:
 		s.turnAway(c, false)
