Writes find their primary with one or two attempts; no ramp where no rule names one

Seen: by settings of another customer with two attempts, no probes and no listed roles 0 of 40 writes were served, as guesses kept two attempts in hand; where the settings give a time of warming and no multiple, a cold member got nothing. Tests of both seen failing without the change.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -567,7 +567,7 @@
 	} else if !q.group.leaderless(p) {
 		return nil
 	}
-	if q.most > 0 && len(q.attempts)+guessSpare >= q.most {
+	if q.most > 0 && len(q.attempts)+min(guessSpare, q.most-1) >= q.most {
 		q.group.wanted = r.now
 		return nil
 	}
@@ -873,7 +873,7 @@
 // Cold start.
 
 func (r *Router) cold(m *member) bool {
-	return m.Started != 0 && r.now < m.Started+r.cfg.ColdTime
+	return m.Started != 0 && r.cfg.FallMultiple > 0 && r.now < m.Started+r.cfg.ColdTime
 }
 
 // coldRoom keeps to a cold member's budget: each front asks of one the cold part of what is usual, and what
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1112,3 +1112,47 @@
 		t.Errorf("repeat %+v, want it written before %v", again, at+time.Second)
 	}
 }
+
+// Few attempts, no probes and no roles listed: a write still finds its primary, as one that is none turns it away.
+func TestFewAttemptsFindThePrimary(t *testing.T) {
+	for most := 1; most <= 3; most++ {
+		list := members()
+		list[0].Primary = false
+		g := newRig(t, func(c *Config) { c.MayProbe, c.MaxAttempts = false, most }, list)
+		served := 0
+		for id := uint64(1); id <= 40; id++ {
+			as := g.arrive(id, once, time.Second, "")
+			for n := 0; n < most; n++ {
+				s := pick(as, Send, id)
+				if len(s) == 0 {
+					as = g.run(60 * ms)
+					if s = pick(as, Send, id); len(s) == 0 {
+						break
+					}
+				}
+				if s[0].Member == "p" {
+					g.answer(id, n, "p", Served, Primary, 0)
+					served++
+					break
+				}
+				as = g.answer(id, n, s[0].Member, NotHere, Replica, 0)
+			}
+			g.now += 20 * ms
+		}
+		if served < 20 {
+			t.Errorf("%d attempts: %d of 40 writes served", most, served)
+		}
+	}
+}
+
+// Where the settings name no multiple at which a cold member falls, there is no ramp to keep.
+func TestNoRampWithoutItsRule(t *testing.T) {
+	list := members()
+	for i := range list {
+		list[i].Started = time.Hour - time.Second
+	}
+	g := newRig(t, func(c *Config) { c.ColdTime, c.FallMultiple = time.Minute, 0 }, list)
+	for id := uint64(1); id <= 40; id++ {
+		g.sentTo(g.arrive(id, anyRead, time.Second, ""), id)
+	}
+}
