--- a/decide/decide.go
+++ b/decide/decide.go
@@ -76,7 +76,7 @@
 
 	askWait, askTimes = 30 * time.Millisecond, 2 // a read waits so long for a probe of its own, at most so often
 
-	coldShare = 0.75 // part of the stated multiple used on a cold member, the rest for error
+	coldShare = 1.25 // of the stated multiple of what is usual for a member, as it can do more than that
 
 	// credit at a cold member is kept for this part of FallTime, or of the first request, or so many mean gaps
 	coldSave, coldFirst, coldGaps = 0.125, 0.5, 2.0
