Discovery's crossing tests begin their client in one place

Change: begin does it and ends it with the test; the two that act between making and running keep theirs.

--- a/internal/discovery/crossing_test.go
+++ b/internal/discovery/crossing_test.go
@@ -75,10 +75,7 @@
 						conn.Close()
 					}
 				}
-				c := New(Config{Addr: "h:0", Version: 7, Gateways: 1}, got.sink, s.dial, slog.New(slog.DiscardHandler))
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				go c.Run(ctx)
+				c := begin(t, Config{Addr: "h:0", Version: 7, Gateways: 1}, got.sink, s.dial)
 				c.Watch()
 				time.Sleep(2 * time.Second)
 				synctest.Wait()
@@ -232,10 +229,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &serve{begin: time.Now()}
 		s.answer = func(_ int, _ string, conn net.Conn) { write(conn, `{"generation":7}`) }
-		c := New(Config{Addr: "h:0", Version: 7, Gateways: 1}, new(told).sink, s.dial, slog.New(slog.DiscardHandler))
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		go c.Run(ctx)
+		c := begin(t, Config{Addr: "h:0", Version: 7, Gateways: 1}, new(told).sink, s.dial)
 		c.Watch()
 		time.Sleep(time.Second)
 		s.mu.Lock()
@@ -259,10 +253,7 @@
 				conn.Close()
 			}
 		}
-		c := New(Config{Addr: "h:0", Version: 7, Gateways: 300}, new(told).sink, s.dial, slog.New(slog.DiscardHandler))
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		go c.Run(ctx)
+		c := begin(t, Config{Addr: "h:0", Version: 7, Gateways: 300}, new(told).sink, s.dial)
 		c.Watch()
 		time.Sleep(40 * time.Millisecond)
 		synctest.Wait()
@@ -367,3 +358,12 @@
 		t.Error("no list")
 	}
 }
+
+// begin runs a client that logs nothing until the test ends.
+func begin(t *testing.T, conf Config, sink Sink, dial func(context.Context, string) (net.Conn, error)) *Client {
+	c := New(conf, sink, dial, slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go c.Run(ctx)
+	return c
+}
