Commands behind others have their client's time from when they came

A copy that logs each request (trial) showed: of 5,215 requests none took longer than its d from its turn on, but connections hold up to 2.6 KB of commands, some 14, each taking 0.1 to 0.4 s, so that one comes to its turn up to seconds after it came. Ruled out: answers held back or spoilt, closes by the gateway (no connection was ended by it), the module's deadline. At fault: conn.query took the time of a command's last byte when it was read out of the buffer, not when it came.

TestCloseCrossed took 50 ms for the end of a lingering connection, and failed once at load 30: it waits for the client's close to end it instead, with a limit of an hour on the gateway's side, so that nothing else can.

--- a/internal/pgfront/close_test.go
+++ b/internal/pgfront/close_test.go
@@ -101,7 +101,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := new(fakeCore)
 			s, _ := newServer(f, tc.most)
-			s.conf.StartWait = 200 * time.Millisecond
+			s.conf.StartWait, s.conf.RefuseWait = 200*time.Millisecond, time.Hour
 			s.conf.Spare = max(s.conf.Spare, 4)
 			near, far := pair(t)
 			looks := wake.New[int](far, 16)
@@ -147,8 +147,15 @@
 				t.Errorf("heard %q, want %q last", got, tc.want)
 			}
 			_ = near.Close()
+			s.mu.Lock()
 			s.refusing = 0
+			s.mu.Unlock()
 			s.Shutdown()
+			until(t, func() bool { // it waits for those that linger only shortly; the client's close ends them
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				return len(s.lingered) == 0
+			})
 			if f.arrived > 0 || len(s.lingered) > 0 || s.Open() > 0 {
 				t.Errorf("%d requests sent on, %d connections linger, %d open", f.arrived, len(s.lingered), s.Open())
 			}
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -42,6 +42,7 @@
 	last     bool // the process ends very soon: what is whole is answered, half a message is not waited for
 	skipping bool // an extended query was refused: skip to its Sync
 	answered []message
+	arrivals arrivals      // of what is in the reader
 	out      []byte        // small answers are put together here
 	timer    *time.Timer   // of the read with a time limit,
 	wait     time.Duration // which ends after such a silence,
@@ -70,7 +71,9 @@
 
 func newConn(s *Server, nc net.Conn) *conn {
 	now := time.Now()
-	return &conn{Conn: wake.New[message](nc, readSize), s: s, idleSince: now, due: now.Add(s.conf.StartWait)}
+	c := &conn{Conn: wake.New[message](nc, readSize), s: s, idleSince: now, due: now.Add(s.conf.StartWait)}
+	c.Came = func(n int) { c.arrivals.came(n, s.core.Now()) }
+	return c
 }
 
 // client takes the answer to one request of a connection.
@@ -291,6 +294,7 @@
 		return err
 	}
 	c.s.idle(c)
+	c.arrivals.forget(c.R.Buffered())
 	stop := func() {}
 	if !c.due.IsZero() { // guards against clients that connect and never ask
 		left := time.Until(c.due)
@@ -375,7 +379,7 @@
 		return c.full(n)
 	}
 	c.due = time.Time{}
-	came := c.s.core.Now() // its time counts from its last byte
+	came := c.arrivals.last(c.R.Buffered(), c.s.core.Now()) // its time counts from its last byte
 	if buf.B[n-1] != 0 {
 		buf.Release()
 		return fmt.Errorf("%w: query without end", errProtocol)
--- a/internal/wake/wake.go
+++ b/internal/wake/wake.go
@@ -26,7 +26,8 @@
 	net.Conn
 	R *bufio.Reader
 
-	heard time.Time // when bytes were last read; the goroutine's
+	Came  func(n int) // called when n bytes were read, on the goroutine; nil: nobody wants to know
+	heard time.Time   // when bytes were last read; the goroutine's
 
 	mu     sync.Mutex
 	mail   sync.Cond // signalled with each message
@@ -47,6 +48,9 @@
 	n, err := w.Conn.Read(p)
 	if n > 0 {
 		w.heard = time.Now()
+		if w.Came != nil {
+			w.Came(n)
+		}
 	}
 	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
 		// The order matters: a message left after the reset wakes the next read.
