An old copy of a voter's folder ends by an error whatever it hears first, not by a panic

Cause: hellos alone, once a second, told a voter which life of its own folder others know; raft's messages told the sender's life only and were taken at once. The leader goes on sending heartbeats each 100 ms to the voter that it counts as having acknowledged entry 4 in the later life, and one came before the hello. The log of the copy is shorter only where an entry was added after it was taken: where c3 led when it was killed, the next leader's first entry. The virtual council told the known life with each message, which the processes did not, so no play found it.

Ruled out: that the guard took the later life for an earlier one (counts and numbers were right, the leader refused the copy as stale); damage to the file; a leader that tells a voter that joins more than zero (it tells the smaller of what is agreed and what was acknowledged, and each folder that joins has a number of its own).

Change: every message of a voter tells the life that it knows of whom it is sent to, in the field that hellos have; who hears of a later life of its folder ends before raft sees the message. A heartbeat past the end of the log ends the voter too (ErrOldCopy): the former program's messages, a copy of the present life once it hears the leader, an emptied founder. A folder whose log has a gap or ends before what it says is agreed is ErrDamaged. Virtual councils put back copies of earlier lives with the guard on, under the count of starts that processes have.

--- a/internal/fleet/council/council.go
+++ b/internal/fleet/council/council.go
@@ -52,7 +52,7 @@
 	Life    Life   `cbor:"2,keyasint"`
 	Lineage uint64 `cbor:"3,keyasint,omitempty"`
 	Message []byte `cbor:"4,keyasint,omitempty"`
-	// Of hellos:
+	// Of hellos, Known of all; the former program tells it in hellos only:
 	Form  int      `cbor:"5,keyasint,omitempty"` // the newest that it speaks
 	Known Life     `cbor:"6,keyasint,omitzero"`  // what it knows of the one it is sent to
 	ID    uint64   `cbor:"7,keyasint,omitempty"`
@@ -66,6 +66,19 @@
 	form int
 }
 
+// ErrOldCopy is returned where others know more of this voter than its folder holds. It must not go on: what it forgot
+// may have counted towards a majority.
+var ErrOldCopy = errors.New("council: the folder is an old copy")
+
+// ErrParted is returned where another voter's message can't follow from what this folder holds as agreed.
+var ErrParted = errors.New("council: the folder does not go with the council")
+
+// What an operator can do about them.
+const (
+	anew = "Do not use the folder: remove this voter and add it anew with an empty one"
+	keep = "One of them went on from an old copy: keep the folder to look at, remove this voter and add it anew with an empty one"
+)
+
 // Voter is one voter at work.
 type Voter struct {
 	conf    Config
@@ -108,6 +121,27 @@
 		return err
 	}
 	defer func() { err = errors.Join(err, store.Close()) }()
+	v, err := begin(c, log, store, saved)
+	if err != nil {
+		return err
+	}
+	if v.net, err = peers.Listen(peers.Config{Listen: c.Listen, Keys: c.Keys, Bytes: bytesMost}, log); err != nil {
+		return err
+	}
+	defer v.net.Close()
+	l, err := net.Listen("tcp", c.Admin)
+	if err != nil {
+		return err
+	}
+	admin := &http.Server{Handler: v.handler(), ReadHeaderTimeout: askWait, ReadTimeout: askWait, WriteTimeout: 2 * askWait, IdleTimeout: askWait, MaxHeaderBytes: 8 << 10}
+	go func() { _ = admin.Serve(l) }()
+	defer func() { _ = admin.Close() }()
+	log.Info("council serves", "name", c.Name, "voters", len(v.node.Conf().Voters), "listen", c.Listen, "admin", c.Admin, "index", v.node.Machine.Index())
+	return v.run(ctx)
+}
+
+// begin begins a life of a folder, without sockets.
+func begin(c Config, log *slog.Logger, store *Store, saved Saved) (*Voter, error) {
 	v := &Voter{conf: c, log: log, store: store, begin: time.Now(), asks: make(chan func(), asksMost), waiting: map[uint64]func(agreed.Result, error){},
 		heard: map[string]neighbour{}, reports: subscribe.NewBook(), told: map[string]string{}, guides: map[uint64]agreed.Voter{}}
 	names, id := c.names(), uint64(0)
@@ -116,14 +150,14 @@
 	}
 	life := rand.Uint64() | 1
 	if err := store.Begin(&saved, names, id, life); err != nil {
-		return err
+		return nil, err
 	}
 	v.saved = saved
 	if v.self = saved.ID; v.self == 0 {
 		v.self = uint64(slices.Index(saved.Founders, c.Name) + 1)
 	}
 	if v.self == 0 {
-		return fmt.Errorf("council: the folder is that of a council of %v, %s is none of them", saved.Founders, c.Name)
+		return nil, fmt.Errorf("council: the folder is that of a council of %v, %s is none of them", saved.Founders, c.Name)
 	}
 	v.life = Life{store.Identity, saved.Starts, life}
 	var ids []uint64
@@ -133,22 +167,9 @@
 	if saved.ID != 0 && len(saved.Founders) == 1 { // restored: alone, under a number of its own
 		ids = []uint64{saved.ID}
 	}
-	if v.node, err = NewNode(NodeConfig{ID: v.self, Voters: ids, Log: log, Form: saved.Form}, saved, 0); err != nil {
-		return err
-	}
-	if v.net, err = peers.Listen(peers.Config{Listen: c.Listen, Keys: c.Keys, Bytes: bytesMost}, log); err != nil {
-		return err
-	}
-	defer v.net.Close()
-	l, err := net.Listen("tcp", c.Admin)
-	if err != nil {
-		return err
-	}
-	admin := &http.Server{Handler: v.handler(), ReadHeaderTimeout: askWait, ReadTimeout: askWait, WriteTimeout: 2 * askWait, IdleTimeout: askWait, MaxHeaderBytes: 8 << 10}
-	go func() { _ = admin.Serve(l) }()
-	defer func() { _ = admin.Close() }()
-	log.Info("council serves", "name", c.Name, "voters", len(v.node.Conf().Voters), "listen", c.Listen, "admin", c.Admin, "index", v.node.Machine.Index())
-	return v.run(ctx)
+	var err error
+	v.node, err = NewNode(NodeConfig{ID: v.self, Voters: ids, Log: log, Form: saved.Form}, saved, 0)
+	return v, err
 }
 
 func (v *Voter) now() Time { return time.Since(v.begin) }
@@ -258,7 +279,7 @@
 		if n, ok := v.heard[name]; !ok || v.now()-n.at > heardFor || n.form < agreed.Form {
 			same = false
 		}
-		v.carry(frameHello, id, &envelope2{Form: agreed.Form, Known: v.store.Roll.Lives[name], ID: v.self, Addr: v.net.Addr()})
+		v.carry(frameHello, id, &envelope2{Form: agreed.Form, ID: v.self, Addr: v.net.Addr()})
 	}
 	if _, leads := v.node.Leader(); !same || !leads || v.node.Machine.Form() >= agreed.Form {
 		v.forms = 0
@@ -270,14 +291,22 @@
 }
 
 func (v *Voter) carry(kind byte, to uint64, e *envelope2) {
+	if at := v.address(to); at != "" {
+		b := v.sealed(kind, to, e)
+		v.net.Send(v.name(to), at, b, len(b) > datagramMost, false)
+	}
+}
+
+// sealed is a frame with both lives: this voter's, and the one that it knows of whom it is sent to. Each message has them,
+// as heartbeats come before hellos and an old copy must learn that it is one before it acts on anything else.
+func (v *Voter) sealed(kind byte, to uint64, e *envelope2) []byte {
 	e.Name, e.Life, e.Past, e.Lineage = v.conf.Name, v.life, v.saved.Past, v.node.Machine.Lineage()
+	e.Known = v.store.Roll.Lives[v.name(to)]
 	b, err := cbor.Marshal(e)
 	if err != nil {
 		panic(err) // plain fields
 	}
-	if at := v.address(to); at != "" {
-		v.net.Send(v.name(to), at, append([]byte{kind}, b...), len(b) > datagramMost, false)
-	}
+	return append([]byte{kind}, b...)
 }
 
 // speaks tells that a voter takes messages with lives.
@@ -321,12 +350,12 @@
 	case frameRaft:
 		var e envelope
 		if cbor.Unmarshal(b, &e) == nil && v.node.Machine.Form() < agreed.Releases {
-			v.message(e.Name, Life{Identity: e.Identity}, nil, e.Message)
+			v.message(&envelope2{Name: e.Name, Life: Life{Identity: e.Identity}, Message: e.Message})
 		}
 	case frameRaft2:
 		var e envelope2
 		if cbor.Unmarshal(b, &e) == nil && e.Lineage == v.node.Machine.Lineage() {
-			v.message(e.Name, e.Life, e.Past, e.Message)
+			v.message(&e)
 		}
 	case frameHello:
 		var e envelope2
@@ -336,18 +365,25 @@
 	}
 }
 
-// greeted takes a hello. Who learns by it that others know a later life of its own folder must not go on.
+// greeted takes a hello.
 func (v *Voter) greeted(e *envelope2) {
-	if e.Name == v.conf.Name || !v.meets(e.Name, e.Life, e.Past) {
+	if e.Name == v.conf.Name || !v.meets(e.Name, e.Life, e.Past) || v.outlived(e) {
 		return
 	}
 	v.heard[e.Name] = neighbour{v.now(), e.Form}
 	if len(v.node.Conf().Voters) == 0 && len(v.guides) < VotersMost && len(e.Name) <= agreed.TextMost {
 		v.guides[e.ID] = agreed.Voter{Name: e.Name, Addr: e.Addr}
 	}
-	if k := e.Known; k.Identity == v.life.Identity && (k.Starts > v.life.Starts || k.Starts == v.life.Starts && k.Run != v.life.Run) {
-		v.fatal = fmt.Errorf("council: the folder is an old copy: it has seen %d starts, voter %s knows of %d. Do not use it: add this voter anew with an empty folder", v.life.Starts, e.Name, k.Starts)
+}
+
+// outlived tells that another voter knows a later life of this folder: this one must not go on.
+func (v *Voter) outlived(e *envelope2) bool {
+	k := e.Known
+	if k.Identity != v.life.Identity || k.Starts < v.life.Starts || k.Starts == v.life.Starts && k.Run == v.life.Run {
+		return false
 	}
+	v.fatal = fmt.Errorf("%w: it has seen %d starts, voter %s knows of %d. %s", ErrOldCopy, v.life.Starts, e.Name, k.Starts, anew)
+	return true
 }
 
 // meets tells whether a message of a life is taken: of the folder that its voter has, in its present life.
@@ -390,15 +426,22 @@
 }
 
 // message takes a raft message of another voter, if it is still the one that it was.
-func (v *Voter) message(name string, l Life, past []uint64, raw []byte) {
+func (v *Voter) message(e *envelope2) {
 	var m raftpb.Message
-	if m.Unmarshal(raw) != nil || name == v.conf.Name || name == "" || m.From == v.self {
+	if m.Unmarshal(e.Message) != nil || e.Name == v.conf.Name || e.Name == "" || m.From == v.self {
 		return
 	}
-	if n := v.name(m.From); n != name && (n != "" || len(v.node.Conf().Voters) > 0) {
+	if n := v.name(m.From); n != e.Name && (n != "" || len(v.node.Conf().Voters) > 0) {
 		return
 	}
-	if v.meets(name, l, past) {
-		v.node.Receive(v.now(), m)
+	if !v.meets(e.Name, e.Life, e.Past) || v.outlived(e) {
+		return
+	}
+	if err := v.node.Receive(v.now(), m); err != nil {
+		advice := anew
+		if errors.Is(err, ErrParted) {
+			advice = keep
+		}
+		v.fatal = fmt.Errorf("%w; voter %s told it. %s", err, e.Name, advice)
 	}
 }
--- a/internal/fleet/council/node.go
+++ b/internal/fleet/council/node.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -124,10 +125,23 @@
 		}
 		n.snapped = 1
 	}
-	if err := n.mem.Append(s.Entries); err != nil {
+	last, err := n.mem.LastIndex()
+	if err == nil && len(s.Entries) > 0 && s.Entries[0].Index > last+1 {
+		err = fmt.Errorf("%w: entry %d follows %d", ErrDamaged, s.Entries[0].Index, last)
+	}
+	if err == nil {
+		err = n.mem.Append(s.Entries)
+	}
+	if err == nil {
+		last, err = n.mem.LastIndex()
+	}
+	if err != nil {
 		return nil, err
 	}
 	if !raft.IsEmptyHardState(s.Hard) {
+		if s.Hard.Commit < n.snapped || s.Hard.Commit > last {
+			return nil, fmt.Errorf("%w: agreed up to %d, it holds %d to %d", ErrDamaged, s.Hard.Commit, n.snapped, last)
+		}
 		if err := n.mem.SetHardState(s.Hard); err != nil {
 			return nil, err
 		}
@@ -136,7 +150,6 @@
 			return nil, err
 		}
 	}
-	var err error
 	n.raw, err = raft.NewRawNode(&raft.Config{ID: c.ID, ElectionTick: electionTicks, HeartbeatTick: 1, Storage: n.mem, Applied: n.snapped,
 		MaxSizePerMsg: messageMost, MaxInflightMsgs: inflightMost, MaxUncommittedEntriesSize: uncommitted, CheckQuorum: true, PreVote: true,
 		ReadOnlyOption: raft.ReadOnlySafe, Logger: quiet{c.Log}, DisableProposalForwarding: true})
@@ -161,12 +174,94 @@
 	}
 }
 
-// Receive takes a message of another voter.
-func (n *Node) Receive(now Time, m raftpb.Message) {
+// Receive takes a message of another voter, after all that Ready has returned is done. An error means that the node must
+// not go on, nor do what Ready may still have: ErrOldCopy or ErrParted.
+func (n *Node) Receive(now Time, m raftpb.Message) error {
 	n.now = now
-	if m.To == n.cfg.ID && !raft.IsLocalMsg(m.Type) {
-		_ = n.raw.Step(m) // what does not fit the term is dropped there
+	if m.To != n.cfg.ID || !fits(&m) {
+		return nil
+	}
+	last, err := n.mem.LastIndex()
+	if err != nil {
+		return err
 	}
+	switch {
+	case m.Type == raftpb.MsgHeartbeat && m.Commit > last:
+		if n.raw.HasReady() { // what is not saved yet may be what it tells of; it comes again
+			return nil
+		}
+		// A leader tells what is agreed and this voter has acknowledged, the smaller of both. To one that is new it tells
+		// nothing until that has acknowledged something, so this folder has forgotten what it had.
+		return fmt.Errorf("%w, or was emptied: its log ends at %d, it had acknowledged %d", ErrOldCopy, last, m.Commit)
+	case m.Type == raftpb.MsgApp && m.Term >= n.Term() && !n.raw.HasReady():
+		if err := n.parted(&m); err != nil {
+			return err
+		}
+	case m.Type == raftpb.MsgAppResp && !m.Reject && m.Index > last: // of what was never sent: a leader would count it
+		return nil
+	}
+	return caught(func() { _ = n.raw.Step(m) }) // what does not fit the term is dropped there
+}
+
+// parted looks at what a leader of this term or a later one tells of places that are agreed here: it must have the same
+// there. Raft refuses such a message only to be sent it again at once, without end, or gives up on it.
+func (n *Node) parted(m *raftpb.Message) error {
+	agreed := n.raw.BasicStatus().Commit
+	at, term := m.Index, m.LogTerm
+	for i := 0; at <= agreed; i++ {
+		if has, err := n.mem.Term(at); err == nil && has != term { // an error: it is cut off, or not there
+			return fmt.Errorf("%w: entry %d is of term %d here, of term %d there", ErrParted, at, has, term)
+		}
+		if i == len(m.Entries) {
+			break
+		}
+		at, term = m.Entries[i].Index, m.Entries[i].Term
+	}
+	return nil
+}
+
+// caught does something of raft's that may panic, as raft does where it finds what it was told not to follow.
+func caught(do func()) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("%w: %v", ErrParted, p)
+		}
+	}()
+	do()
+	return nil
+}
+
+// numberMost is above all terms and places in the log that come about: raft adds to them without a look.
+const numberMost = 1 << 62
+
+// fits tells a message that a voter may send, in itself: raft takes others too and gives up on some, at once or later.
+func fits(m *raftpb.Message) bool {
+	if m.From == 0 || m.From == m.To || m.Term == 0 || max(m.Term, m.Index, m.Commit, m.LogTerm, m.RejectHint) >= numberMost {
+		return false // without a term raft takes it for its own
+	}
+	switch m.Type {
+	case raftpb.MsgApp:
+		term := m.LogTerm
+		for i := range m.Entries {
+			e := &m.Entries[i]
+			if e.Index != m.Index+1+uint64(i) || e.Term < max(term, 1) {
+				return false
+			}
+			term = e.Term
+		}
+		return term <= m.Term
+	case raftpb.MsgSnap:
+		return m.Snapshot != nil && m.Snapshot.Metadata.Index < numberMost && m.Snapshot.Metadata.Term > 0 && m.Snapshot.Metadata.Term <= m.Term && plain(m.Snapshot.Metadata.ConfState)
+	case raftpb.MsgAppResp, raftpb.MsgVote, raftpb.MsgVoteResp, raftpb.MsgPreVote, raftpb.MsgPreVoteResp, raftpb.MsgHeartbeat, raftpb.MsgHeartbeatResp:
+		return true
+	}
+	return false // nothing else is sent between voters
+}
+
+// plain tells voters that changed one at a time, none of them twice there.
+func plain(c raftpb.ConfState) bool {
+	all := slices.Sorted(slices.Values(slices.Concat(c.Voters, c.Learners)))
+	return len(c.Voters) > 0 && all[0] != 0 && len(slices.Compact(slices.Clone(all))) == len(all) && len(c.VotersOutgoing) == 0 && len(c.LearnersNext) == 0 && !c.AutoLeave
 }
 
 // councilTime is the leader's: it goes on from the agreed one as its own clock runs.
@@ -345,7 +440,9 @@
 	if err := cc.Unmarshal(e.Data); err != nil {
 		return fmt.Errorf("entry %d: %w", e.Index, err)
 	}
-	n.conf = *n.raw.ApplyConfChange(cc)
+	if err := caught(func() { n.conf = *n.raw.ApplyConfChange(cc) }); err != nil {
+		return fmt.Errorf("entry %d: %w", e.Index, err)
+	}
 	if cc.NodeID == 0 || len(cc.Context) == 0 { // refused by raft, as another was under way
 		return nil
 	}
--- a/internal/lab/simcouncil/simcouncil.go
+++ b/internal/lab/simcouncil/simcouncil.go
@@ -8,6 +8,7 @@
 import (
 	"bytes"
 	"container/heap"
+	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -357,13 +358,27 @@
 					to.waiting = append(to.waiting, m)
 				}
 			default:
-				to.node.Receive(w.clock(to), m)
-				w.work(to)
+				w.receive(to, m)
 			}
 		})
 	}
 }
 
+// receive does what a voter does with a message: it ends where that tells that its folder is an old copy.
+func (w *world) receive(to *voter, m raftpb.Message) {
+	switch err := to.node.Receive(w.clock(to), m); {
+	case errors.Is(err, council.ErrOldCopy) && w.off&GuardRoll == 0:
+		w.kill(to, 0)
+		to.gone = true
+	case err != nil:
+		if w.err == nil {
+			w.err = fmt.Errorf("voter %d: %w", to.id, err)
+		}
+	default:
+		w.work(to)
+	}
+}
+
 // meets does what a voter does with the lives that a message carries: it takes none of a past one, and ends where others
 // know a later life of its own folder.
 func (w *world) meets(to *voter, from uint64, l, known council.Life) bool {
@@ -377,11 +392,16 @@
 }
 
 // putBack puts an old copy of a voter's folder in place, where all others have heard of its present life: one that none
-// of those whom the copy reaches ever heard of can't be found out, and is not claimed to be.
+// of those whom the copy reaches ever heard of can't be found out, and is not claimed to be. Nor is one that was taken
+// within the present life, before the leader tells how far its log went: it may vote till then. ROADMAP has it.
 func (w *world) putBack(v *voter) {
-	// Only where the guard is off, for now: a copy taken within the present life can't be told by counts of starts, and
-	// play 8 breaks a rule. ROADMAP has it.
-	if len(v.copies) == 0 || w.olds > 0 || w.off&GuardRoll == 0 {
+	var can []folder
+	for _, c := range v.copies {
+		if c.starts < v.starts || w.off&GuardRoll != 0 {
+			can = append(can, c)
+		}
+	}
+	if len(can) == 0 || w.olds > 0 {
 		return
 	}
 	for _, o := range w.voters {
@@ -389,9 +409,9 @@
 			return
 		}
 	}
-	c := v.copies[w.rng.IntN(len(v.copies))]
+	c := can[w.rng.IntN(len(can))]
 	w.olds++
-	v.disk, v.starts, v.roll.Lives = clone(c.disk), c.starts-1, maps.Clone(c.lives)
+	v.disk, v.starts, v.roll.Lives = clone(c.disk), c.starts, maps.Clone(c.lives)
 }
 
 // fault draws a fault, ends earlier ones now and then, and draws on.
@@ -425,8 +445,7 @@
 				v.waiting = nil
 				for _, m := range waiting {
 					if v.node != nil {
-						v.node.Receive(w.clock(v), m)
-						w.work(v)
+						w.receive(v, m)
 					}
 				}
 			})
