What a command waited for its turn counts against its aim

At fault: decide.arrive sets the aim from the moment of the arrival in the core; a command behind others has begun its wait before.

Change: a front tells when a request came (core.Request.Came), the core how long it waited (Event.Waited), and the aim counts from there, for a retry as for a first try.

--- a/decide/api.go
+++ b/decide/api.go
@@ -285,6 +285,7 @@
 	AtLeast   Time   // Arrive: a read must also see what was committed by then; 0 = no more than its class says
 	IsRetry   bool   // Arrive: a client's repeat
 	Remaining Time   // Arrive: how long the client waits
+	Waited    Time   // Arrive: how long it has waited already, behind others on its connection
 
 	Member  string // FirstByte, Outcome, Probed
 	Attempt int    // FirstByte, Outcome: its number, from 0 in order of Sends
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -341,8 +341,8 @@
 		k = r.classes[e.Class]
 	}
 	q := &request{id: e.Request, class: k, group: r.groups[e.Group], session: e.Session, arrived: r.now,
-		most: r.cfg.MaxAttempts, aim: r.now + k.Aim, deadline: r.now + e.Remaining, token: never, floor: never,
-		luck: r.rng.Float64()}
+		most: r.cfg.MaxAttempts, aim: r.now + k.Aim - e.Waited, deadline: r.now + e.Remaining, token: never,
+		floor: never, luck: r.rng.Float64()}
 	r.requests[q.id] = q
 	r.open = append(r.open, q)
 	r.retries = min(retryMost, r.retries+retryEarn)
@@ -350,11 +350,11 @@
 	worth := k.Worth * r.share(e.Tenant)
 	if !e.IsRetry {
 		k.longest = max(k.longest, e.Remaining)
-	} else if e.Remaining < k.longest-clockSlack { // its wait is what the deadline leaves: so long ago it began
-		q.aim -= max(0, k.Deadline-e.Remaining)
+	} else if e.Remaining+e.Waited < k.longest-clockSlack { // what the deadline leaves tells when it began
+		q.aim -= max(0, k.Deadline-e.Remaining-e.Waited)
 	}
 	q.rank = worth / k.cost
-	if q.group == nil || e.Remaining <= sweepEvery {
+	if q.group == nil || q.usefulUntil() <= r.now+sweepEvery {
 		r.giveUp(q, forever)
 		return
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1156,3 +1156,34 @@
 		g.sentTo(g.arrive(id, anyRead, time.Second, ""), id)
 	}
 }
+
+// TestWaited: what a request has waited behind others counts against its aim, a retry's no less and not twice: too late
+// to be worth anything it is refused at once, that those behind it get their turn; late but worth something it is sent.
+func TestWaited(t *testing.T) {
+	for _, tc := range []struct {
+		class  int
+		waited Time
+		retry  bool
+		want   ActionKind
+		most   Time // the attempt's time
+	}{
+		{anyRead, 0, false, Send, 200 * ms},
+		{anyRead, 80 * ms, false, Send, 120 * ms},
+		{anyRead, 80 * ms, true, Send, 120 * ms},
+		{anyRead, 250 * ms, false, Refuse, 0},
+		{anyRead, 250 * ms, true, Refuse, 0},
+		{once, 800 * ms, false, Send, 1200 * ms},
+	} {
+		g := newRig(t, nil, members())
+		k := &g.r.cfg.Classes[tc.class]
+		for id := range uint64(3) { // first tries tell how long clients wait
+			g.step(Event{Kind: Arrive, Request: 100 + id, Class: tc.class, Tenant: -1, Remaining: k.Deadline})
+			g.step(Event{Kind: ClientGone, Request: 100 + id})
+		}
+		g.step(Event{Kind: Arrive, Request: 1, Class: tc.class, Tenant: -1, IsRetry: tc.retry, Waited: tc.waited, Remaining: k.Deadline - tc.waited})
+		got := append(pick(g.got, Send, 1), pick(g.got, Refuse, 1)...)
+		if len(got) != 1 || got[0].Kind != tc.want || got[0].Timeout != tc.most {
+			t.Errorf("%+v: %+v", tc, got)
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -78,6 +78,7 @@
 	AtLeast       Time // a read must see what was committed by then, 0 = what its class says
 	Retry         bool
 	Until         Time // how long the client waits
+	Came          Time // when it came, perhaps long before its turn on its connection; 0 = now
 	Call          Payload
 	Client        Client
 
@@ -452,6 +453,9 @@
 	}
 	e := decide.Event{Kind: decide.Arrive, Request: q.id, As: q.Class, Tenant: q.Tenant, Group: q.Group,
 		Session: q.Session, AtLeast: q.AtLeast, IsRetry: q.Retry, Remaining: q.Until - now}
+	if q.Came > 0 {
+		e.Waited = max(now-q.Came, 0)
+	}
 	if q.Written > 0 {
 		e.HasToken, e.TokenAge = true, max(now-q.Written, 0)
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -85,6 +85,25 @@
 	})
 }
 
+// TestCame: the module is told how long a request has waited for its turn, and what its client still waits.
+func TestCame(t *testing.T) {
+	run(t, func(c *Core, s *script, _ *client, _ *payload, _ *Request) {
+		c.Post(func() { clear(s.on) })
+		now := c.Now()
+		for _, came := range []Time{0, now - 70*time.Millisecond, now + time.Second} {
+			c.Arrive(&Request{Came: came, Until: now + 30*time.Millisecond, Call: new(payload), Client: new(client)})
+			synctest.Wait()
+			want := time.Duration(0)
+			if came > 0 {
+				want = max(now-came, 0)
+			}
+			if e := s.events[len(s.events)-1]; e.Kind != decide.Arrive || e.Waited != want || e.Remaining != 30*time.Millisecond {
+				t.Errorf("came at %v: %+v", came-now, e)
+			}
+		}
+	})
+}
+
 // TestOneAnswer: the first answer is the only one, late ones are released, and a second outcome is not passed on.
 func TestOneAnswer(t *testing.T) {
 	run(t, func(c *Core, s *script, cl *client, call *payload, q *Request) {
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -525,7 +525,7 @@
 		return nil, errInUse
 	}
 	st.Done = func() { c.s.conf.Claims.Disclaim(st.ID) }
-	q := &core.Request{Class: k.Class, Place: k.Place, Tenant: t.Tenant(st.Tenant), Front: front, Group: st.Cluster, Retry: st.Retry,
+	q := &core.Request{Class: k.Class, Place: k.Place, Tenant: t.Tenant(st.Tenant), Front: front, Group: st.Cluster, Retry: st.Retry, Came: came,
 		Written: core.Time(st.After) * time.Millisecond, Call: st,
 		Until: came + min(core.Time(min(st.Wait, maxWait))*time.Millisecond, k.Deadline)}
 	if k.HasSession() {
