The load's clients come back to a gateway that is back from a restart

Seen: TestRelease red once in a whole run of the tests beside two benches (load 20): 'health can't be told: the new version had 0 requests, the others 7185', so the release halted and no other driver went on. Ruled out: the gateway (it served as version 2 from 0.6 s after it went out, its peers saw it), the council, the driver's change. At fault: load.work. A connection refused during the restart went to the next gateway for good; on a full machine the restart took long enough for all of this gateway's connections to be refused, and nobody ever came back to it.

Change: a connection begins at its own gateway each time it is made, and one that is elsewhere is made anew after a second. That is what a front that hands out connections does; no test's demand was changed.

--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -42,7 +42,7 @@
 // Config is what a run is told.
 type Config struct {
 	Addr   string
-	Addrs  []string // of gateways in place of Addr: a connection that one refuses is made to the next
+	Addrs  []string // of gateways in place of Addr: a connection that one refuses is made to the next, until that is back
 	Phases []Phase
 	Conns  int // connections, each with one request at a time
 	Kinds  []Kind
@@ -177,9 +177,14 @@
 	return &kinds[len(kinds)-1]
 }
 
-// work is one connection.
-func work(addrs []string, at int, jobs <-chan job, res *Result) {
+// awayMost is how long a connection stays with another gateway than its own. Were it to stay for good, one that is back
+// from a restart would get nothing, and a release would never learn how the new version does.
+const awayMost = time.Second
+
+// work is one connection; its own gateway is the one at home.
+func work(addrs []string, home int, jobs <-chan job, res *Result) {
 	var conn *pgclient.Conn
+	var away time.Time // since when it is with another, zero: it is not
 	defer func() {
 		if conn != nil {
 			conn.Close()
@@ -194,14 +199,18 @@
 		j.q.Wait = left
 		a := pgclient.Answer{Verdict: pgclient.Broken}
 		var err error
+		if conn != nil && !away.IsZero() && time.Since(away) > awayMost {
+			conn.Close()
+			conn = nil
+		}
 		for try := 0; try < 2; try++ {
 			if conn == nil {
-				for range len(addrs) {
-					if conn, err = pgclient.Dial(addrs[at%len(addrs)], left); err == nil {
+				away = time.Time{}
+				for k := range addrs {
+					if conn, err = pgclient.Dial(addrs[(home+k)%len(addrs)], left); err == nil {
 						break
 					}
-					at++
-					conn = nil
+					conn, away = nil, time.Now()
 				}
 				if err != nil {
 					break
