What a connection knows of arrivals goes on with what is read, however deep its backlog

Seen in review, confirmed by a test: with 160 or more pieces unread, each over 2 ms after the one before, halving the marks grew the first one as fast as it was read, so that it was never dropped; 200 deep, a piece that came at 804 ms counted as come at 2 ms, and in time its commands would be refused though their clients waited. Ruled out by the same reading: bufio's direct reads, readers that grow, the startup, connections passed on. At fault: arrivals.came merged the first mark too.

Change: the first mark is left out of the merging. Also, how long first tries wait is learnt with what they waited for their turn (decide.arrive), else retries lose their earlier age where first tries mostly queue. Result: TestDeepBacklog fails without it (200 deep) and passes with it (10 to 400 deep); TestArrivals and TestBehind as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -349,7 +349,7 @@
 	r.asked(k, !e.IsRetry)
 	worth := k.Worth * r.share(e.Tenant)
 	if !e.IsRetry {
-		k.longest = max(k.longest, e.Remaining)
+		k.longest = max(k.longest, e.Remaining+e.Waited)
 	} else if e.Remaining+e.Waited < k.longest-clockSlack { // what the deadline leaves tells when it began
 		q.aim -= max(0, k.Deadline-e.Remaining-e.Waited)
 	}
--- a/internal/pgfront/arrivals.go
+++ b/internal/pgfront/arrivals.go
@@ -24,7 +24,7 @@
 }
 
 const (
-	arrivalsMost = 64                   // marks of a connection
+	arrivalsMost = 65                   // marks of a connection; odd, see came
 	arrivalsEach = 2 * time.Millisecond // what comes so soon after a mark's begin counts with it
 )
 
@@ -35,9 +35,9 @@
 		a.marks[last].end = a.all
 		return
 	}
-	if len(a.marks) >= arrivalsMost {
-		half := a.marks[:0]
-		for i := 0; i+1 < len(a.marks); i += 2 {
+	if len(a.marks) >= arrivalsMost { // the first stays as it is: grown each time, it would never be read to its end
+		half := a.marks[:1]
+		for i := 1; i+1 < len(a.marks); i += 2 {
 			half = append(half, arrival{a.marks[i+1].end, a.marks[i].at})
 		}
 		a.marks = half
--- a/internal/pgfront/arrivals_test.go
+++ b/internal/pgfront/arrivals_test.go
@@ -60,6 +60,29 @@
 	})
 }
 
+// TestDeepBacklog: where a client keeps very many pieces ahead, and reading is as fast as it sends, a byte may count as come
+// earlier than it did, but by no more than the backlog takes to be read twice: what is known goes on with it.
+func TestDeepBacklog(t *testing.T) {
+	for _, deep := range []int{10, 100, 200, 400} {
+		var a arrivals
+		var waits []core.Time
+		for i := range 20 * deep {
+			now := core.Time(i+1) * arrivalsEach
+			a.came(3, now)
+			waits = append(waits, now)
+			if len(waits) <= deep {
+				continue
+			}
+			waits = waits[1:]
+			a.forget(3 * len(waits))
+			span := 2 * core.Time(deep) * arrivalsEach
+			if got := a.last(3*len(waits)-3, now); got > waits[0] || waits[0]-got > span {
+				t.Fatalf("%d deep, piece %d: came at %v, not %v", deep, i, got, waits[0])
+			}
+		}
+	}
+}
+
 // TestArrivals plays drawn pieces against a model that knows when each byte came: no byte counts as come later than it
 // did, the newest counts by itself, few pieces are told apart, and the marks are bounded.
 func TestArrivals(t *testing.T) {
