--- a/review/lab/db.go
+++ b/review/lab/db.go
@@ -63,6 +63,9 @@
 	copyShare      float64                     // share of the answers that have a second copy right behind,
 	copyAfter      time.Duration               // so long after the answer, when nothing else waits on the connection
 	copies         int
+	cores          chan struct{}               // limits the requests that are worked on at a time; nil: no limit
+	queueMax       int                         // requests that may wait for a core; further ones are turned away
+	workOf         func(s *stmt) time.Duration // time of a statement on this machine as it is now; nil: work
 
 	mu        sync.Mutex
 	primary   bool
@@ -76,22 +79,30 @@
 	l         net.Listener
 	report    string // refreshed from time to time
 	served    int
+	waiting   int
 }
 
 const shipMs = 12.0 // a replica gets the log this much later
 
 func (m *dbMachine) start() error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	m.l, m.addr, m.conns = l, l.Addr().String(), map[net.Conn]bool{}
 	m.applied = nowMs() - shipMs
 	if m.applyRate == 0 {
 		m.applyRate = 2
 	}
 	m.refreshReport()
 	go m.apply()
+	return m.listen("127.0.0.1:0")
+}
+
+// listen has the machine's process serve at an address.
+func (m *dbMachine) listen(addr string) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	m.l, m.addr, m.conns = l, l.Addr().String(), map[net.Conn]bool{}
+	m.mu.Unlock()
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -306,10 +317,37 @@
 	if draining {
 		return errorMessage("53300", "draining")
 	}
+	if m.cores != nil {
+		m.mu.Lock()
+		m.waiting++
+		full := m.waiting > m.queueMax
+		m.mu.Unlock()
+		leave := func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.waiting--
+		}
+		if full {
+			leave()
+			return errorMessage("53300", "queue full")
+		}
+		select {
+		case <-gone:
+			leave()
+			return nil
+		case m.cores <- struct{}{}:
+			leave()
+		}
+		defer func() { <-m.cores }()
+	}
+	work := m.work
+	if m.workOf != nil {
+		work = m.workOf(s)
+	}
 	select {
 	case <-gone:
 		return nil
-	case <-time.After(m.work):
+	case <-time.After(work):
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/review/lab/discovery.go
+++ b/review/lab/discovery.go
@@ -77,6 +77,16 @@
 	rec("discovery: version %d, %s is %s", d.generation, id, lifecycle)
 }
 
+// restarted tells that a machine started again.
+func (d *discoveryService) restarted(id string, atMs int64) {
+	d.mu.Lock()
+	e := d.entries[id]
+	e.StartedAtMs = atMs
+	d.entries[id] = e
+	d.mu.Unlock()
+	d.set(id, "ready")
+}
+
 func (d *discoveryService) whole() list {
 	all := list{Generation: d.generation, Reset: true, Instances: []entry{}}
 	for _, id := range d.order {
