--- a/review/lab/case_copy.go
+++ b/review/lab/case_copy.go
@@ -7,7 +7,10 @@
 	"time"
 )
 
-func init() { cases["copy"] = copyCase }
+func init() {
+	cases["copy"] = copyCase
+	cases["copy-once"] = copyOnceCase
+}
 
 // copyCase: clients read items one after another. In the disruption one in twenty answers of the db machines has a second
 // copy right behind it: a tenth of a millisecond later, and only while nothing else waits on that connection. Each client is
@@ -82,3 +85,74 @@
 	gw.copyLog()
 	return breaks
 }
+
+// copyOnceCase: the same disruption at nairobi-heating, whose control-change must never run twice. The primary turns one
+// statement in ten away, its queue being full.
+func copyOnceCase() (breaks []string) {
+	const clients = 12
+	g := newGroup()
+	var machines []*dbMachine
+	for i := range 3 {
+		m := &dbMachine{id: fmt.Sprintf("s-%d", i), zone: "upper-hill", g: g, work: 90 * time.Millisecond, inlineReport: true, primary: i == 0,
+			oneWay: 300 * time.Microsecond, turnAway: 0.1}
+		if trouble {
+			m.copyShare, m.copyAfter = 0.05, 100*time.Microsecond
+		}
+		must(m.start(), "db machine")
+		defer m.stop()
+		machines = append(machines, m)
+	}
+	d := newDiscovery(machines)
+	must(d.start(), "discovery")
+	gw := startGateway(baseConfig("n1", freeAddr(), d, nairobi(3)), nil, nil)
+	gw.awaitReady(10 * time.Second)
+	end := time.Now().Add(25 * time.Second)
+	var mu sync.Mutex
+	var done sync.WaitGroup
+	count := map[string]int{}
+	verdicts := map[string]string{}
+	for i := range clients {
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			var c *pgClient
+			for n := 0; time.Now().Before(end); n++ {
+				if c == nil {
+					var err error
+					if c, err = dialPG(gw.addr); err != nil {
+						time.Sleep(50 * time.Millisecond)
+						continue
+					}
+				}
+				id := fmt.Sprintf("c%d-%d", i, n)
+				q := c.do(writeText(id, "control-change", "", 5000, 0, "", "room-"+id, []byte("set "+id)), 6*time.Second)
+				rec("request %s: %s %s %q", id, q.kind, q.code, q.value)
+				mu.Lock()
+				count[q.kind]++
+				verdicts[id] = q.kind
+				mu.Unlock()
+				if q.kind == "closed" {
+					_ = c.Close()
+					c = nil
+				}
+			}
+		}()
+	}
+	done.Wait()
+	time.Sleep(time.Second)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, v := range verdicts {
+		switch runs := g.runs[id]; {
+		case runs > 1:
+			breaks = append(breaks, fmt.Sprintf("request %s, which must never run twice, ran %d times", id, runs))
+		case runs == 0 && v == "served":
+			count["told as served, and never run"]++
+		case runs == 1 && v == "refused":
+			count["refused, and run"]++
+		}
+	}
+	rec("count: %v, second copies %d", count, machines[0].copies)
+	gw.copyLog()
+	return breaks
+}
--- a/review/lab/db.go
+++ b/review/lab/db.go
@@ -63,6 +63,7 @@
 	copyShare      float64                     // share of the answers that have a second copy right behind,
 	copyAfter      time.Duration               // so long after the answer, when nothing else waits on the connection
 	copies         int
+	turnAway       float64                     // share of the statements that are turned away, the queue being full
 	cores          chan struct{}               // limits the requests that are worked on at a time; nil: no limit
 	queueMax       int                         // requests that may wait for a core; further ones are turned away
 	workOf         func(s *stmt) time.Duration // time of a statement on this machine as it is now; nil: work
@@ -317,6 +318,9 @@
 	if draining {
 		return errorMessage("53300", "draining")
 	}
+	if m.turnAway > 0 && rand.Float64() < m.turnAway {
+		return errorMessage("53300", "queue full")
+	}
 	if m.cores != nil {
 		m.mu.Lock()
 		m.waiting++
