A second copy of an answer is never taken for the answer to the next statement

Cause: pgmember looked for bytes beyond an answer only in its buffer and socket, right before the next statement was written. A copy that was still on its way then was taken for the answer to that statement, and shifted all that followed.

Change: an empty query goes out before each statement, in one write with it. Whole messages before its answer are dropped, within bounds, and the connection is closed after the statement's own answer.

--- a/internal/gateway/bulk_test.go
+++ b/internal/gateway/bulk_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/binary"
@@ -32,6 +33,21 @@
 	return pgwire.AppendReadyForQuery(pgwire.Append(pgwire.Append(out, 'D', string(row)), 'C', "SELECT 1\x00"))
 }
 
+// readQuery reads a Query message and returns its text.
+func readQuery(r *bufio.Reader) ([]byte, error) {
+	head := make([]byte, 5)
+	if _, err := io.ReadFull(r, head); err != nil {
+		return nil, err
+	}
+	_, n, err := pgwire.Header(head)
+	if err != nil {
+		return nil, err
+	}
+	body := make([]byte, n)
+	_, err = io.ReadFull(r, body)
+	return bytes.TrimSuffix(body, []byte{0}), err
+}
+
 // serveBulk is a primary on nc: it answers probes with its state, and statements with answer in pieces of random length.
 func serveBulk(nc net.Conn, answer []byte, rnd *rand.Rand) {
 	defer func() { _ = nc.Close() }()
@@ -41,12 +57,16 @@
 	}
 	ready := pgwire.AppendReadyForQuery(pgwire.AppendParameterStatus(pgwire.AppendParameterStatus(nil, "recovery", "off"), "lsn_ms", fmt.Sprint(time.Now().UnixMilli())))
 	_, _ = nc.Write(append(pgwire.Append(nil, 'R', "\x00\x00\x00\x00"), ready...))
-	for {
-		n, err := nc.Read(buf)
+	for r := bufio.NewReader(nc); ; {
+		query, err := readQuery(r)
 		if err != nil {
 			return
 		}
-		if bytes.Contains(buf[:n], []byte("SHOW health")) {
+		if pgwire.Empty(query) {
+			_, _ = nc.Write(pgwire.AppendReadyForQuery(pgwire.Append(nil, 'I')))
+			continue
+		}
+		if bytes.HasPrefix(query, []byte("SHOW health")) {
 			report := fmt.Sprintf("x0=%d,x1=1", time.Now().Unix())
 			at := bytes.IndexByte(answer, 'D')
 			out := pgwire.Append(bytes.Clone(answer[:at]), 'D', "\x00\x01\x00\x00\x00", string(rune(len(report))), report)
--- a/internal/interruptible/interruptible.go
+++ b/internal/interruptible/interruptible.go
@@ -188,6 +188,25 @@
 	return nil
 }
 
+// Discard reads n bytes and drops them. Whenever it is interrupted it calls onInterrupt, and goes on unless that returns
+// an error.
+func (w *Conn[M]) Discard(n int, onInterrupt func() error) error {
+	for n > 0 {
+		dropped, err := w.Reader.Discard(n)
+		n -= dropped
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, ErrInterrupted) {
+			return err
+		}
+		if err := onInterrupt(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Peek is Reader.Peek, but calls onInterrupt whenever it is interrupted, and goes on unless that returns an error.
 func (w *Conn[M]) Peek(n int, onInterrupt func() error) ([]byte, error) {
 	for {
--- a/internal/pgmember/answer.go
+++ b/internal/pgmember/answer.go
@@ -116,7 +116,10 @@
 	partlyWritten bool        // the statement was not written whole; some of it may have been
 	stallCheckDue bool        // a check for a stall is due
 	begun         bool        // a byte of it arrived
-	row           []byte      // the value, within buf
+	surplus       surplus     // what preceded it
+
+	betweenMessages bool   // the next message has not begun, and the member may take its time
+	row             []byte // the value, within buf
 	described,
 	complete bool // RowDescription, CommandComplete arrived
 	code  string // SQLSTATE of an ErrorResponse
@@ -138,14 +141,13 @@
 // answer: no part of an invalid answer may be trusted.
 func (c *conn) readAnswer(a *answer, onInterrupt func() error) error {
 	var small [1 << 10]byte
-	for n := range maxAnswerMessages {
-		if n > 0 {
-			c.watchForStall(a, 5)
-		} else if _, err := c.Peek(1, onInterrupt); err != nil { // no limit on pauses until the answer begins
-			return err
-		}
-		a.begun = true
-		head, err := c.Peek(5, onInterrupt)
+	if err := c.awaitAnswer(a, onInterrupt); err != nil {
+		return err
+	}
+	a.begun = true
+	for range maxAnswerMessages {
+		c.watchForStall(a, messageHeaderSize)
+		head, err := c.Peek(messageHeaderSize, onInterrupt)
 		if err != nil {
 			return err
 		}
@@ -163,12 +165,12 @@
 		keep := a.job != nil && a.endStream == nil && (typ == 'T' || typ == 'D' || typ == 'C')
 		switch {
 		case keep:
-			if err := c.reserveBuffer(a, typ, 5+n); err != nil {
+			if err := c.reserveBuffer(a, typ, messageHeaderSize+n); err != nil {
 				return err
 			}
 			at := len(a.buf.B)
-			a.buf.B = append(a.buf.B, head...)[:at+5+n]
-			body = a.buf.B[at+5:]
+			a.buf.B = append(a.buf.B, head...)[:at+messageHeaderSize+n]
+			body = a.buf.B[at+messageHeaderSize:]
 		case n > pgwire.MaxSmallMessage:
 			return pgwire.ErrTooLong
 		case n > len(body):
@@ -176,7 +178,7 @@
 		default:
 			body = body[:n]
 		}
-		_, _ = c.Reader.Discard(5)
+		_, _ = c.Reader.Discard(messageHeaderSize)
 		c.watchForStall(a, n)
 		if err := c.ReadFull(body, onInterrupt); err != nil {
 			return err
@@ -188,6 +190,15 @@
 	return errInvalidAnswer
 }
 
+// awaitAnswer waits for the first byte of an answer.
+func (c *conn) awaitAnswer(a *answer, onInterrupt func() error) error {
+	if a.job != nil {
+		return c.awaitSyncMarker(a, onInterrupt)
+	}
+	_, err := c.peekMessage(a, onInterrupt)
+	return err
+}
+
 // reserveBuffer makes sure that the answer's buffer has room for a message of n bytes and for those that follow it.
 func (c *conn) reserveBuffer(a *answer, typ byte, n int) error {
 	if typ == 'D' { // a row must not move later, so room for CommandComplete is needed now
--- a/internal/pgmember/conn.go
+++ b/internal/pgmember/conn.go
@@ -237,7 +237,11 @@
 	default:
 		a.buf.Release()
 	}
-	if a.ready && !a.abandoned && c.Reader.Buffered() == 0 { // otherwise there are bytes beyond the answer
+	if a.surplus.unwanted > 0 {
+		c.pool.surplusLog.Info(c.pool.log, "messages beyond earlier answers dropped", "member", c.member.id,
+			"messages", a.surplus.unwanted, "bytes", a.surplus.bytes)
+	}
+	if a.ready && !a.abandoned && a.surplus.unwanted == 0 && c.Reader.Buffered() == 0 { // otherwise there are bytes beyond an answer
 		c.jobDone(j, o)
 		return true
 	}
@@ -251,20 +255,28 @@
 	return false
 }
 
-// writeStatement writes a job's statement whole. If it could not, it returns false and the outcome: the member has not
-// run it.
-func (c *conn) writeStatement(j *job, a *answer) (core.Outcome, bool) {
-	query, until := net.Buffers{pgwire.Append(nil, 'Q', "SHOW health\x00")}, c.pool.core.Now()+c.pool.conf.Load().ConnectTimeout
-	if j.attempt != nil {
-		until = j.attempt.Deadline
-		wait := max((until - c.pool.core.Now()).Milliseconds(), 1)
-		switch c := j.attempt.Request.Call.(type) {
-		case *pgwire.Statement: // passed on as received
-			query = c.Query(wait)
-		case *call.Request:
-			query = pgwire.EncodeCall(c, wait)
-		}
+// query returns the parts of the message with a job's statement, and until when it may be written.
+func (c *conn) query(j *job) (parts net.Buffers, until core.Time) {
+	now := c.pool.core.Now()
+	if j.attempt == nil {
+		return net.Buffers{pgwire.Append(nil, 'Q', "SHOW health\x00")}, now + c.pool.conf.Load().ConnectTimeout
+	}
+	until = j.attempt.Deadline
+	wait := max((until - now).Milliseconds(), 1)
+	switch request := j.attempt.Request.Call.(type) {
+	case *pgwire.Statement: // passed on as received
+		parts = request.Query(wait)
+	case *call.Request:
+		parts = pgwire.EncodeCall(request, wait)
 	}
+	return parts, until
+}
+
+// writeStatement writes the marker and a job's statement whole. If it could not, it returns false and the outcome: the
+// member has not run the statement.
+func (c *conn) writeStatement(j *job, a *answer) (core.Outcome, bool) {
+	statement, until := c.query(j)
+	query := append(net.Buffers{[]byte(syncMarker)}, statement...)
 	size := int64(0)
 	for _, part := range query {
 		size += int64(len(part))
@@ -305,6 +317,9 @@
 				return c.stopReading(a)
 			case o.checkStall:
 				a.stallCheckDue = false
+				if a.betweenMessages {
+					continue
+				}
 				left := a.stallLimit() - min(c.SilentFor(), time.Since(a.lastStreamed))
 				if left <= 0 {
 					return errStalled
@@ -330,7 +345,7 @@
 	case errors.Is(err, errClientWrite), errors.Is(err, errUnclaimed):
 		return core.Outcome{Result: decide.Cancelled}
 	case errors.Is(err, pgwire.ErrTooLong), errors.Is(err, pgwire.ErrMalformed), errors.Is(err, errInvalidAnswer), errors.Is(err, errStalled),
-		errors.Is(err, errNoBuffer):
+		errors.Is(err, errNoBuffer), errors.Is(err, errSurplus):
 		// The member is up and has run the statement; only the answer is invalid, so nothing that it reported is used.
 		c.pool.invalidAnswerLog.Warn(c.pool.log, "answer spoilt", "member", c.member.id, "err", err)
 		return core.Outcome{Result: decide.Errored}
--- a/internal/pgmember/leave_test.go
+++ b/internal/pgmember/leave_test.go
@@ -73,6 +73,22 @@
 	})
 }
 
+// waitRead waits until l's socket holds no unread bytes.
+func waitRead(t *testing.T, l *heldConn) {
+	t.Helper()
+	raw, err := l.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, func() bool {
+		n := 0
+		_ = raw.Control(func(fd uintptr) {
+			n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		})
+		return n < 1
+	})
+}
+
 // waitFor waits until f returns true, for 20 s at most.
 func waitFor(t *testing.T, f func() bool) {
 	t.Helper()
@@ -218,8 +234,19 @@
 	_, _ = c.Write(pgwire.AppendReadyForQuery(pgwire.Append(nil, 'R', "\x00\x00\x00\x00")))
 }
 
-// readStatement reads one message from the member's end of a connection and returns its body.
+// readStatement reads the marker and a statement from the member's end of a connection, answers the marker, and returns the
+// statement.
 func readStatement(t *testing.T, c net.Conn) string {
+	t.Helper()
+	if marker := readQuery(t, c); marker != "\x00" {
+		t.Errorf("the member got %.80q, want the marker", marker)
+	}
+	_, _ = c.Write(markerAnswer)
+	return readQuery(t, c)
+}
+
+// readQuery reads one message from the member's end of a connection and returns its body.
+func readQuery(t *testing.T, c net.Conn) string {
 	t.Helper()
 	head := make([]byte, 5)
 	if _, err := io.ReadFull(c, head); err != nil {
@@ -410,14 +437,7 @@
 			readStatement(t, c)
 			if tc.before != "" {
 				_, _ = c.Write([]byte(tc.before))
-				waitFor(t, func() bool { // the gateway has read it
-					raw, _ := l.SyscallConn()
-					n := 0
-					_ = raw.Control(func(fd uintptr) {
-						n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-					})
-					return n < 1
-				})
+				waitRead(t, l)
 			}
 			release := l.holdReads()
 			w.onOwner(func() {
--- a/internal/pgmember/pass_test.go
+++ b/internal/pgmember/pass_test.go
@@ -122,12 +122,15 @@
 			}
 			_, _ = b.Write(pgwire.AppendReadyForQuery(pgwire.Append(nil, 'R', "\x00\x00\x00\x00")))
 			for {
-				for text := ""; !strings.HasSuffix(text, "\x00"); {
+				for text := ""; len(text) <= len(syncMarker) || !strings.HasSuffix(text, "\x00"); {
 					n, err := b.Read(buf)
 					if text += string(buf[:n]); err != nil {
 						return
 					}
 				}
+				if _, err := b.Write(markerAnswer); err != nil {
+					return
+				}
 				for from := 0; from < len(reply); {
 					n := min(1+rnd.IntN(1+rnd.IntN(1<<rnd.IntN(16))), len(reply)-from)
 					if (f == memberBreaks || f == memberStalls) && from+n > at {
--- a/internal/pgmember/pool.go
+++ b/internal/pgmember/pool.go
@@ -51,7 +51,7 @@
 	jobs              map[*core.Attempt]*job
 	positionsReported atomic.Bool // some member has reported a log position
 
-	invalidAnswerLog, brokenStreamLog, connectFailedLog, noConnsLog, listTooLongLog logthrottle.Line
+	invalidAnswerLog, surplusLog, brokenStreamLog, connectFailedLog, noConnsLog, listTooLongLog logthrottle.Line
 
 	beforeWrite func(*job) // test hook: called right before a job's statement is written
 }
--- a/internal/pgmember/pool_test.go
+++ b/internal/pgmember/pool_test.go
@@ -65,6 +65,9 @@
 
 const description = "\x00\x01doc\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01"
 
+// markerAnswer is a member's answer to the marker before a statement.
+var markerAnswer = pgwire.AppendReadyForQuery(pgwire.Append(nil, 'I'))
+
 // pipeFixture is a pool with a fake member behind it, on pipes and fake time.
 type pipeFixture struct {
 	t           *testing.T
@@ -178,13 +181,22 @@
 	n, _ := pgwire.StartupLen(head)
 	_, _ = io.ReadFull(c, make([]byte, n))
 	_, _ = c.Write(pgwire.AppendReadyForQuery(pgwire.Append(nil, 'R', "\x00\x00\x00\x00")))
-	for {
+	for marked := false; ; {
 		if _, err := io.ReadFull(c, head); err != nil {
 			return
 		}
 		_, n, _ := pgwire.Header(head)
 		body := make([]byte, n)
 		_, _ = io.ReadFull(c, body)
+		if string(body) == "\x00" { // a pipe has no buffer: the gateway reads only once its statement was read
+			marked = true
+			continue
+		}
+		if !marked {
+			r.t.Errorf("no marker before %q", body)
+		}
+		marked = false
+		_, _ = c.Write(markerAnswer)
 		if strings.HasPrefix(string(body), "SHOW health") {
 			row := "x0=1000.5,x1=1,nonsense=3"
 			_, _ = c.Write(pgwire.AppendReadyForQuery(pgwire.Append(pgwire.Append(pgwire.Append(nil, 'T', description), 'D', "\x00\x01\x00\x00\x00",
@@ -274,11 +286,13 @@
 type sink struct {
 	r       *pipeFixture
 	answers []core.Answer
+	bodies  []string // of the answers that have one
 }
 
 func (s *sink) Answer(a core.Answer) {
 	s.answers = append(s.answers, a)
 	if a.Body != nil {
+		s.bodies = append(s.bodies, string(a.Body.(*pgwire.Buf).B))
 		if !strings.HasSuffix(string(a.Body.(*pgwire.Buf).B), "SELECT 1\x00") {
 			s.r.t.Errorf("answer %q", a.Body.(*pgwire.Buf).B)
 		}
--- a/internal/pgmember/through_test.go
+++ b/internal/pgmember/through_test.go
@@ -224,11 +224,11 @@
 	got := make(chan string, n)
 	for _, m := range members {
 		go func() {
-			head := make([]byte, 5)
-			if _, err := io.ReadFull(m, head); err != nil {
+			query := make([]byte, len(syncMarker)+5)
+			if _, err := io.ReadFull(m, query); err != nil {
 				return
 			}
-			body := make([]byte, binary.BigEndian.Uint32(head[1:])-4)
+			body := make([]byte, binary.BigEndian.Uint32(query[len(syncMarker)+1:])-4)
 			_, _ = io.ReadFull(m, body)
 			got <- string(body)
 		}()
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -60,6 +60,25 @@
 	return h[0], int(l) - 4, nil
 }
 
+// backendTypes are the types of the messages that a member may send to a client of simple queries.
+const backendTypes = "RKSZTDCENIA"
+
+// BackendHeader splits the five-byte header of any message that a member may send into the type and the length of the body.
+// Unlike Header it takes rows of up to MaxRowSize bytes. The error wraps ErrTooLong or ErrMalformed.
+func BackendHeader(h []byte) (typ byte, n int, err error) {
+	if strings.IndexByte(backendTypes, h[0]) < 0 {
+		return h[0], 0, fmt.Errorf("%w: type %q", ErrMalformed, h[0])
+	}
+	if !IsLargeRow(h) {
+		return Header(h)
+	}
+	l := binary.BigEndian.Uint32(h[1:5])
+	if l > MaxRowSize {
+		return h[0], 0, fmt.Errorf("%w: row of %d bytes, want at most %d", ErrTooLong, l, MaxRowSize)
+	}
+	return h[0], int(l) - 4, nil
+}
+
 // StartupLen returns the number of bytes that follow the first four of a startup message. The error wraps ErrTooLong.
 func StartupLen(h []byte) (int, error) {
 	l := binary.BigEndian.Uint32(h)
@@ -169,6 +188,12 @@
 	return code, nil
 }
 
+// IsFatal reports whether the body of an ErrorResponse says that the session ends with it.
+func IsFatal(body []byte) bool {
+	severity := ErrorField(body, 'S')
+	return severity == "FATAL" || severity == "PANIC"
+}
+
 // ForEachLoadValue calls each for every name=value pair of a load report. Pairs without a finite number below 1e18 are
 // skipped.
 func ForEachLoadValue(s []byte, each func(name string, v float64)) {
--- a/internal/standin/cluster/serve.go
+++ b/internal/standin/cluster/serve.go
@@ -73,21 +73,10 @@
 	pool := pgwire.NewPool(1, 0)
 	buf := pool.Get(pgwire.LargeBufSize, 0)
 	for {
-		if _, err := nc.Write(out); err != nil {
+		written := startWrite(nc, out)
+		if !readQuery(r, buf) || <-written != nil {
 			return
 		}
-		if _, err := io.ReadFull(r, head); err != nil {
-			return
-		}
-		typ, n, err := pgwire.Header(head)
-		if err != nil || typ != 'Q' || n < 1 {
-			return
-		}
-		buf.B = buf.B[:n]
-		if _, err := io.ReadFull(r, buf.B); err != nil {
-			return
-		}
-		buf.B = buf.B[:n-1]
 		out = m.answer(out[:0], buf)
 		if out == nil { // it hangs
 			_, _ = io.Copy(io.Discard, r)
@@ -96,6 +85,35 @@
 	}
 }
 
+// readQuery reads the text of a Query message into buf and reports whether there was one.
+func readQuery(r *bufio.Reader, buf *pgwire.Buf) bool {
+	head := make([]byte, 5)
+	if _, err := io.ReadFull(r, head); err != nil {
+		return false
+	}
+	typ, n, err := pgwire.Header(head)
+	if err != nil || typ != 'Q' || n < 1 {
+		return false
+	}
+	buf.B = buf.B[:n]
+	if _, err := io.ReadFull(r, buf.B); err != nil {
+		return false
+	}
+	buf.B = buf.B[:n-1]
+	return true
+}
+
+// startWrite writes b in the background, as the send buffer of a socket allows: a connection of package pipenet has none,
+// and its peer may write several messages before it reads. The returned channel gets the write's error.
+func startWrite(nc net.Conn, b []byte) <-chan error {
+	written := make(chan error, 1)
+	go func() {
+		_, err := nc.Write(b)
+		written <- err
+	}()
+	return written
+}
+
 // answer runs one statement.
 func (m *Member) answer(out []byte, buf *pgwire.Buf) []byte {
 	m.c.mu.Lock()
