decide: slow start in a file of its own

The budget of members in slow start moves from decide.go and state.go to slowstart.go, a policy file of the deploy file; nothing else changes. go test ./decide passes.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -90,12 +90,6 @@
 	probeWait        = 30 * time.Millisecond // how long a read waits for a probe made for it
 	maxProbesPerRead = 2                     // most probes made for one read
 
-	slowStartHeadroom = 1.25 // factor on the overload multiple, as members can take more than their usual load
-
-	tokenLifetimeFraction      = 0.125 // unused slow-start tokens are kept for this fraction of OverloadTime,
-	firstTokenLifetimeFraction = 0.5   // for this fraction of it up to the first request,
-	tokenLifetimeGaps          = 2.0   // or for this many mean gaps between requests, whichever is longer
-
 	maxSessions = 4096 // sessions per group whose commits are kept while a member may lack them
 
 	goneRetention = time.Minute // members that left the list are kept so long, as they may restart
@@ -833,35 +827,6 @@
 	return max(Time(silenceMultiple*few*cost*m.slowness(r.now)), minSilence)
 }
 
-// Slow start.
-
-// inSlowStart reports that m started less than SlowStartTime ago, where the settings ask for a slow
-// start.
-func (r *Router) inSlowStart(m *member) bool {
-	return m.Started != 0 && r.cfg.OverloadMultiple > 0 && r.now < m.Started+r.cfg.SlowStartTime
-}
-
-// slowStartAdmits keeps to the budget of a member in slow start: each front sends it the present fraction
-// of its usual work, so that the sum over all fronts is bounded. Tokens accrue with time and expire, so
-// retries, held requests or a surge in one group get no more. Where there is less than a request's work,
-// that is its chance; chances add up.
-func (r *Router) slowStartAdmits(m *member, q *request) bool {
-	p, sent := q.group.primary(), q.sentTo(m)
-	if t, drawn := q.admissions[m]; drawn && t.attemptsBefore == sent { // an attempt uses up its admission
-		return t.admitted
-	} else if q.class.Writes() && m != p && !q.group.leaderless(p) { // infeasible calls this too
-		return false
-	}
-	fraction := r.cfg.SlowStartFraction +
-		(1-r.cfg.SlowStartFraction)*float64(r.now-m.Started)/float64(max(r.cfg.SlowStartTime, 1))
-	rate := r.usualWork() * fraction * r.cfg.OverloadMultiple *
-		slowStartHeadroom * r.budgetShares[SlowStartBudget]
-	m.slowStart.accrue(r.now, rate, float64(r.cfg.OverloadTime))
-	admitted := m.slowStart.admit(q.class.cost, !q.hasUnusedAdmission())
-	q.recordAdmission(m, admission{sent, admitted})
-	return r.countBudgetUse(SlowStartBudget, admitted)
-}
-
 // Periodic checks: deadlines, silent members, rerouting, the search for primaries and calls to discovery.
 
 func (r *Router) sweep() {
