A cold member's budget follows the load that it and its kind bore while warm

Cause: the budget was a part of the usual work for each listed member, times 1.25, which takes all to be alike.

Change: decide/kindload.go counts what warm members served by kind and role, and each member's share of that; the budget follows the lesser of usual and borne work. Never-seen members count as the weakest of their kind.

--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -25,6 +25,8 @@
 	fault                      string // "one", "group", "primary", "third", "renewed"
 	marksRetries               bool   // clients mark their retries
 	seed                       uint64
+	slowSpeed                  float64 // speed of the second member of each group as a multiple of the others' speed; 0: all are alike
+	tellsKind                  bool    // the list tells which members are slow
 }
 
 func (d slowStartScenario) String() string {
@@ -59,6 +61,7 @@
 	primary   bool
 	up        bool
 	capacity  float64
+	slow      bool
 	started   Time
 	free      Time // when its queue is worked off
 	life      int
@@ -144,9 +147,17 @@
 	}
 	load := d.rate * float64(d.routers) * s.mean / float64(d.groups*d.groupSize) // per member, ns per second
 	used := 0.5 + 0.4*s.rng.Float64()                                            // of the members' capacity
+	meanSpeed := 1.0
+	if d.slowSpeed > 0 {
+		meanSpeed -= (1 - d.slowSpeed) / float64(d.groupSize)
+	}
 	for g := range d.groups {
 		for j := range d.groupSize {
-			s.add(&simMember{id: fmt.Sprintf("g%d-%d", g, j), group: g, primary: j == 0, up: true, capacity: load / used})
+			m := &simMember{id: fmt.Sprintf("g%d-%d", g, j), group: g, primary: j == 0, up: true, capacity: load / used / meanSpeed}
+			if d.slowSpeed > 0 && j == 1 {
+				m.slow, m.capacity = true, m.capacity*d.slowSpeed
+			}
+			s.add(m)
 		}
 	}
 	all = 0
@@ -186,7 +197,11 @@
 }
 
 func (s *fleetSim) entry(m *simMember) Member {
-	return Member{ID: m.id, Group: int64(m.group), Zone: "a", Primary: m.primary, Started: m.started}
+	l := Member{ID: m.id, Group: int64(m.group), Zone: "a", Primary: m.primary, Started: m.started}
+	if m.slow && s.tellsKind {
+		l.Kind = "slow"
+	}
+	return l
 }
 
 func (s *fleetSim) later(d Time, do func()) {
@@ -413,7 +428,7 @@
 	l := *m
 	s.announce(m, Removed)
 	s.later(5*time.Second, func() { m.up = false })
-	n := &simMember{id: l.id + "x", group: l.group, up: true, capacity: l.capacity, started: s.now, free: s.now, primary: l.primary}
+	n := &simMember{id: l.id + "x", group: l.group, up: true, capacity: l.capacity, slow: l.slow, started: s.now, free: s.now, primary: l.primary}
 	m.primary = false
 	s.add(n)
 	s.announce(n, Up)
@@ -525,6 +540,32 @@
 	}
 }
 
+// TestSlowStartOfUnequalMembers guards against a slow-start budget that takes all members to be alike: a slow one was sent more
+// than it may get, by up to all that it is slower than others.
+func TestSlowStartOfUnequalMembers(t *testing.T) {
+	for _, size := range []struct {
+		routers, groups, each int
+		rate                  float64
+		fault                 string
+		tellsKind             bool
+	}{{3, 3, 3, 270, "one", false}, {3, 3, 3, 270, "one", true}, {20, 3, 4, 80, "one", false}, {3, 3, 3, 270, "renewed", true}} {
+		used := 0.0
+		for seed := range uint64(4 * *coldSeeds) {
+			s := newFleetSim(slowStartScenario{routers: size.routers, groups: size.groups, groupSize: size.each, rate: size.rate, span: 15 * time.Second,
+				fault: size.fault, marksRetries: seed%2 == 0, seed: seed, slowSpeed: 0.56, tellsKind: size.tellsKind})
+			s.run()
+			used += s.used
+			t.Logf("%v, kind told %v: %.2f roots of N beyond N + 2, used %.2f of N", s.slowStartScenario, size.tellsKind, s.worst, s.used/s.allowed)
+			if s.worst > 2 {
+				t.Errorf("%v, kind told %v: %.2f roots of N beyond N + 2: %s", s.slowStartScenario, size.tellsKind, s.worst, s.worstAt)
+			}
+		}
+		if used == 0 {
+			t.Errorf("%d routers, %s: nothing sent to members in slow start", size.routers, size.fault)
+		}
+	}
+}
+
 // coldSeeds is the number of scenarios per size and fault.
 var coldSeeds = flag.Int("coldseeds", 1, "scenarios of TestSlowStartOfFleet per size and fault")
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -104,8 +104,9 @@
 	}
 	r := &Router{rng: rand.New(rand.NewPCG(seed, 0x656c646572)), now: distantPast, commitFloor: distantPast,
 		members: map[string]*member{}, groups: map[int64]*group{}, budgetShares: [4]float64{1, 1, 1, 1},
-		requests: map[uint64]*request{}, retryTokens: maxRetryTokens,
-		wakeAt: distantPast, nextLogAt: distantPast, sweptAt: distantPast, sweptAllAt: distantPast,
+		kindLoads: map[string]*kindLoad{}, requests: map[uint64]*request{}, retryTokens: maxRetryTokens,
+		wakeAt: distantPast, nextLogAt: distantPast,
+		sweptAt: distantPast, sweptAllAt: distantPast, warmSweptAt: distantPast,
 		savedListUntil: distantFuture, watchSentAt: distantPast}
 	r.pacer = DiscoveryPacer{Fronts: cfg.Fronts, Random: r.rng.Float64}
 	r.configure(cfg)
@@ -693,6 +694,7 @@
 	switch e.Result {
 	case Served:
 		k := a.request.class
+		r.countServed(m, k)
 		rate := costRiseRate
 		if took < k.cost {
 			rate = costFallRate
@@ -861,6 +863,7 @@
 
 // sweepMembership counts the listed members, and drops members and groups that are not listed.
 func (r *Router) sweepMembership() {
+	r.sweepWarmLoads()
 	r.listedMembers = 0
 	r.groupOrder = slices.DeleteFunc(r.groupOrder, func(g *group) bool {
 		for _, m := range g.members {
--- /dev/null
+++ b/decide/kindload.go
@@ -0,0 +1,171 @@
+package decide
+
+import (
+	"math"
+	"time"
+)
+
+// The load that warm members bear. It is the measure of what a member in slow start can do once it is warm: members of
+// different kinds differ, members of one kind too, and no member bears more for long than it can do.
+
+const (
+	maxKinds   = 64 // kinds of members that are told apart; further ones count as one
+	otherKinds = "" // the name under which they count
+
+	// Before anything is counted, each warm member is taken to have borne the usual work for warmPriorTime, and each
+	// member to have served what is expected of it for warmPriorRequests.
+	warmPriorTime     = 2 * time.Second
+	warmPriorRequests = 16.0
+
+	// forgottenKindTime is the decayed time of all members of a kind below which a kind that is not listed is dropped.
+	forgottenKindTime = time.Millisecond
+)
+
+// kindLoad is what the warm members of one kind served this front, by role.
+type kindLoad struct {
+	primaries, replicas roleLoad
+	listed              int     // members of the kind at the last sweep
+	leastShare          float64 // least credible share of a warm member at the last sweep, at most 1
+}
+
+// roleLoad is what the warm members of one kind and role served this front. The counts decay over usualWorkWindow.
+type roleLoad struct {
+	members int                // warm members in use at the last sweep
+	time    float64            // integral of members over time, in ns
+	served  map[string]float64 // requests that they served, by class name
+	all     float64            // sum of served
+}
+
+// warmLoad is what one member served this front while it was warm. The counts decay over usualWorkWindow of that time.
+type warmLoad struct {
+	kind     *kindLoad
+	served   float64 // requests that it served
+	expected float64 // requests that an average member of its kind and role served in the same time
+}
+
+// share is what the member serves as a multiple of what an average member of its kind and role does; prior while little is
+// known of it.
+func (l *warmLoad) share(prior float64) float64 {
+	return (l.served + prior*warmPriorRequests) / (l.expected + warmPriorRequests)
+}
+
+// credibleShare is the share, plus its standard error: with few requests counted it is not below 1.
+func (l *warmLoad) credibleShare() float64 {
+	return l.share(1) + math.Sqrt(l.served+warmPriorRequests)/(l.expected+warmPriorRequests)
+}
+
+// ofRole returns the load of the members of m's role.
+func (l *kindLoad) ofRole(m *member) *roleLoad {
+	if m.role == Primary {
+		return &l.primaries
+	}
+	return &l.replicas
+}
+
+// rate is the number of requests that a member served per ns; 0 while nothing is known.
+func (l *roleLoad) rate() float64 {
+	if l.time == 0 {
+		return 0
+	}
+	return l.all / l.time
+}
+
+// advance lets the counts decay by the factor fade, and adds the time of the members.
+func (l *roleLoad) advance(span Time, fade float64) {
+	l.time = l.time*fade + float64(l.members)*float64(span)
+	l.all *= fade
+	for name := range l.served {
+		l.served[name] *= fade
+	}
+}
+
+// work is the work that was served, by the present costs of the classes.
+func (l *roleLoad) work(classes []*class) (work float64) {
+	for _, k := range classes {
+		work += l.served[k.Name] * k.cost
+	}
+	return work
+}
+
+// loadOfKind returns the record of a kind, a new one where there is none.
+func (r *Router) loadOfKind(kind string) *kindLoad {
+	l := r.kindLoads[kind]
+	if l == nil && len(r.kindLoads) >= maxKinds {
+		kind = otherKinds
+		l = r.kindLoads[kind]
+	}
+	if l == nil {
+		l = &kindLoad{primaries: roleLoad{served: map[string]float64{}}, replicas: roleLoad{served: map[string]float64{}}, leastShare: 1}
+		r.kindLoads[kind] = l
+	}
+	return l
+}
+
+// isWarm reports that m may serve at its full capacity.
+func (r *Router) isWarm(m *member) bool { return !m.suspect && !r.barred(m) && !r.inSlowStart(m) }
+
+// countServed counts a request that m served, if m is warm.
+func (r *Router) countServed(m *member, k *class) {
+	if r.inSlowStart(m) {
+		return
+	}
+	m.warmLoad.served++
+	l := m.warmLoad.kind.ofRole(m)
+	l.served[k.Name]++
+	l.all++
+}
+
+// sweepWarmLoads adds the time since the last sweep to what is known of warm members and of their kinds.
+func (r *Router) sweepWarmLoads() {
+	span := min(r.now-r.warmSweptAt, usualWorkWindow) // the first sweep follows distantPast
+	fade := math.Exp(-float64(span) / float64(usualWorkWindow))
+	r.warmSweptAt = r.now
+	for _, l := range r.kindLoads {
+		l.primaries.advance(span, fade)
+		l.replicas.advance(span, fade)
+		l.primaries.members, l.replicas.members, l.listed, l.leastShare = 0, 0, 0, 1
+	}
+	for _, m := range r.members {
+		m.warmLoad.kind.listed++
+		if r.isWarm(m) {
+			r.sweepWarmMember(m, span, fade)
+		}
+	}
+	for kind, l := range r.kindLoads {
+		if l.listed == 0 && l.primaries.time+l.replicas.time < float64(forgottenKindTime) {
+			delete(r.kindLoads, kind)
+		}
+	}
+}
+
+// sweepWarmMember counts a warm member, and what was expected of it in the time since the last sweep.
+func (r *Router) sweepWarmMember(m *member, span Time, fade float64) {
+	l := &m.warmLoad
+	role := l.kind.ofRole(m)
+	role.members++
+	l.served *= fade
+	l.expected = l.expected*fade + role.rate()*float64(span)
+	l.kind.leastShare = min(l.kind.leastShare, l.credibleShare())
+}
+
+// warmWork is the work per unit of time that m can be expected to take once it is warm: what warm members of its kind bear,
+// less where m itself bore less than others, and not more than the usual work; and the headroom above that, which is less
+// where they bear less than usual, as weak members work closer to their capacity. Of a member that has not been seen warm
+// no more is expected than of the weakest one of its kind.
+func (r *Router) warmWork(m *member) float64 {
+	usual := r.usualWork()
+	if usual == 0 {
+		return 0
+	}
+	l := m.warmLoad.kind
+	borne := min(usual, r.borneWork(l, usual)) * min(1, m.warmLoad.share(l.leastShare))
+	return borne * (1 + (slowStartHeadroom-1)*borne/usual)
+}
+
+// borneWork is the work per unit of time that each warm member of a kind served. While little is known of the kind it is
+// close to the usual work.
+func (r *Router) borneWork(l *kindLoad, usual float64) float64 {
+	work := l.primaries.work(r.classes) + l.replicas.work(r.classes)
+	prior := float64(max(l.primaries.members+l.replicas.members, 1)) * float64(warmPriorTime)
+	return (work + usual*prior) / (l.primaries.time + l.replicas.time + prior)
+}
--- a/decide/memberlist.go
+++ b/decide/memberlist.go
@@ -105,6 +105,9 @@
 			m.role, m.roleAt = Replica, l.Started
 		}
 	}
+	if m.warmLoad.kind == nil || m.Kind != l.Kind {
+		m.warmLoad = warmLoad{kind: r.loadOfKind(l.Kind)}
+	}
 	m.Member = l
 	m.slowStart.begin(l.Started, r.now, r.rng)
 	m.gone = l.State == Removed && !r.cfg.UseUnlisted
--- a/decide/slowstart.go
+++ b/decide/slowstart.go
@@ -10,7 +10,7 @@
 
 // Parameters of the budget.
 const (
-	slowStartHeadroom = 1.25 // factor on the overload multiple, as members can take more than their usual load
+	slowStartHeadroom = 1.25 // factor on the usual work, as members can take more than it
 
 	tokenLifetimeFraction      = 0.125 // unused slow-start tokens are kept for this fraction of OverloadTime,
 	firstTokenLifetimeFraction = 0.5   // for this fraction of it up to the first request,
@@ -24,7 +24,7 @@
 }
 
 // slowStartAdmits keeps to the budget of a member in slow start: each front sends it the present fraction
-// of its usual work, so that the sum over all fronts is bounded. Tokens accrue with time and expire, so
+// of what members of its kind bear, so that the sum over all fronts is bounded. Tokens accrue with time and expire, so
 // retries, held requests or a surge in one group get no more. Where there is less than a request's work,
 // that is its chance; chances add up.
 func (r *Router) slowStartAdmits(m *member, q *request) bool {
@@ -36,8 +36,7 @@
 	}
 	fraction := r.cfg.SlowStartFraction +
 		(1-r.cfg.SlowStartFraction)*float64(r.now-m.Started)/float64(max(r.cfg.SlowStartTime, 1))
-	rate := r.usualWork() * fraction * r.cfg.OverloadMultiple *
-		slowStartHeadroom * r.budgetShares[SlowStartBudget]
+	rate := r.warmWork(m) * fraction * r.cfg.OverloadMultiple * r.budgetShares[SlowStartBudget]
 	m.slowStart.accrue(r.now, rate, float64(r.cfg.OverloadTime))
 	admitted := m.slowStart.admit(q.class.cost, !q.hasUnusedAdmission())
 	q.recordAdmission(m, admission{sent, admitted})
--- a/decide/state.go
+++ b/decide/state.go
@@ -12,23 +12,25 @@
 	groups              map[int64]*group
 	groupOrder          []*group // in the order of their first listing
 	requests            map[uint64]*request
-	openRequests        []*request        // those without a final answer, by arrival
-	classes             []*class          // as in cfg
-	classesByName       map[string]*class // by name, with those of the former settings
-	tenantTokens        []float64         // token bucket of each tenant, in requests within its share
-	retryTokens         float64           // token bucket of retries
-	lossRate            float64           // fraction of recent attempts whose answers were lost
-	heldRequests        int               // requests held by the last dispatch
-	replicas, primaries roleStats         // averages over the members of a role, for members with few samples
-	listedMembers       float64           // number of listed members
-	listedMemberTime    float64           // integral of listedMembers over time in ns, decaying like firstTries
-	arrivedAt           Time              // last arrival of a request
-	commitFloor         Time              // newest commit in groups that have been dropped
-	budgetShares        [4]float64        // usable share of each shared budget, 1 = an even share
-	granted, denied     [4]float64        // uses of each shared budget since the last BudgetDemand
-	tightestBound       Time              // tightest bound of the classes
-	primarySearchGap    Time              // interval between checks of a member that may be primary
-	reportAge           Time              // usual age of the positions that probes report
+	openRequests        []*request           // those without a final answer, by arrival
+	classes             []*class             // as in cfg
+	classesByName       map[string]*class    // by name, with those of the former settings
+	tenantTokens        []float64            // token bucket of each tenant, in requests within its share
+	retryTokens         float64              // token bucket of retries
+	lossRate            float64              // fraction of recent attempts whose answers were lost
+	heldRequests        int                  // requests held by the last dispatch
+	replicas, primaries roleStats            // averages over the members of a role, for members with few samples
+	listedMembers       float64              // number of listed members
+	listedMemberTime    float64              // integral of listedMembers over time in ns, decaying like firstTries
+	kindLoads           map[string]*kindLoad // by kind of member, see loadOfKind
+	warmSweptAt         Time                 // last sweep of kindLoads
+	arrivedAt           Time                 // last arrival of a request
+	commitFloor         Time                 // newest commit in groups that have been dropped
+	budgetShares        [4]float64           // usable share of each shared budget, 1 = an even share
+	granted, denied     [4]float64           // uses of each shared budget since the last BudgetDemand
+	tightestBound       Time                 // tightest bound of the classes
+	primarySearchGap    Time                 // interval between checks of a member that may be primary
+	reportAge           Time                 // usual age of the positions that probes report
 
 	pacer          DiscoveryPacer // schedules the calls to discovery
 	wakeAt         Time           // next requested timer event
@@ -82,6 +84,7 @@
 	errorAt         Time     // last error in that fraction
 	orphans         []orphan // abandoned attempts that may still run
 	slowStart       slowStart
+	warmLoad        warmLoad
 }
 
 // roleStats are averages over the members of one role.
