The old list holds for 5.5 s, not for good, in a long pause after a refused call

Cause: after a refusal the pause goes by the fleet's size, 8 to 24 s at 300, and the list held without limit meanwhile.

Change: where that pause is too long for the next call to tell of changes within 6 s, the list holds for 5.5 s from the refusal; from then on only members that took a request in the last 5.5 s are sent to, until discovery answers, refuses again or can't be reached. The pace of calls stays; an early call at any size was tried and made a thundering herd (see the incident).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -107,7 +107,7 @@
 		kindLoads: map[string]*kindLoad{}, requests: map[uint64]*request{}, retryTokens: maxRetryTokens,
 		wakeAt: distantPast, nextLogAt: distantPast,
 		sweptAt: distantPast, sweptAllAt: distantPast, warmSweptAt: distantPast,
-		savedListUntil: distantFuture, watchSentAt: distantPast}
+		listTrustedUntil: distantFuture, watchSentAt: distantPast}
 	r.pacer = DiscoveryPacer{Fronts: cfg.Fronts, Random: r.rng.Float64}
 	r.configure(cfg)
 	return r, nil
--- a/decide/memberlist.go
+++ b/decide/memberlist.go
@@ -24,16 +24,17 @@
 		r.watchAt = r.now + r.pacer.InitialPause()
 		r.trustSaved(e.Members)
 	case DiscoveryUnreachable: // the old list stays in use
-		r.savedListUntil = distantFuture
-	case ListError: // the same
-		r.savedListUntil = distantFuture
-		r.watchAt, r.watchSentAt = r.now+r.pacer.PauseAfterRefusal(r.budgetShares[DiscoveryBudget]), distantPast
+		r.listTrustedUntil = distantFuture
+	case ListError:
+		pause := r.pacer.PauseAfterRefusal(r.budgetShares[DiscoveryBudget])
+		r.watchAt, r.watchSentAt = r.now+pause, distantPast
+		r.trustDuringPause(pause)
 		r.countBudgetUse(DiscoveryBudget, false)
 	default:
 		if r.watchSentAt != distantPast {
 			r.pacer.Answered(r.now - r.watchSentAt)
 		}
-		r.watchAt, r.watchSentAt, r.savedListUntil = distantFuture, distantPast, distantFuture
+		r.watchAt, r.watchSentAt, r.listTrustedUntil = distantFuture, distantPast, distantFuture
 	}
 }
 
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -315,6 +315,78 @@
 	}
 }
 
+// TestListAfterRefusedCalls guards against sends to a draining member by a list that is used without limit after discovery
+// refused a call, while a large fleet pauses for longer than the 6 s within which changes count as told.
+func TestListAfterRefusedCalls(t *testing.T) {
+	const told, grace = 6 * time.Second, 250 * ms
+	for _, fronts := range []int{3, 30, 80, 101, 300, 900} {
+		for _, refusals := range []int{1, 2, 9} {
+			for _, answered := range []bool{false, true} {
+				for seed := range uint64(5) {
+					g := newRig(t, func(c *Config) { c.ListOnRequest, c.MayProbe, c.Fronts = true, false, fronts }, members())
+					for range seed { // draws another pause
+						g.r.rng.Float64()
+					}
+					if answered {
+						g.run(6 * time.Second)
+						g.step(Event{Kind: ListChange})
+					}
+					d := &drainPlay{g: g, drains: "s"}
+					for range refusals { // s drains from the first refusal on
+						g.step(Event{Kind: ListError})
+						from := g.now
+						for called := false; !called && g.now < from+2*time.Minute; {
+							called = d.ask(10 * ms)
+							if late := d.lastSent - from; late > told+grace {
+								t.Fatalf("%d fronts, %d refusals, answered before %v: sent %v after the refusal", fronts, refusals, answered, late)
+							}
+						}
+					}
+					if d.served < d.asked/2 {
+						t.Errorf("%d fronts, %d refusals, answered before %v: %d of %d requests served", fronts, refusals, answered, d.served, d.asked)
+					}
+				}
+			}
+		}
+	}
+}
+
+// drainPlay asks a router for reads. All members serve them but one, which refuses them as it drains.
+type drainPlay struct {
+	g             *routerTest
+	drains        string
+	asked, served int
+	lastSent      Time // to the draining member
+}
+
+// ask makes one request, lets d pass and reports whether discovery was called.
+func (p *drainPlay) ask(d Time) (called bool) {
+	p.asked++
+	id := uint64(p.asked)
+	all := p.g.arrive(id, anyRead, time.Second, "")
+	for attempt := 0; ; attempt++ {
+		sent := actionsOf(all, Send, id)
+		if len(sent) == 0 {
+			break
+		}
+		switch m := sent[0].Member; m {
+		case p.drains:
+			p.lastSent = p.g.now
+			all = p.g.answer(id, attempt, m, Full, RoleUnknown, 0)
+		case "p":
+			p.served++
+			all = p.g.answer(id, attempt, m, Served, Primary, p.g.now)
+		default:
+			p.served++
+			all = p.g.answer(id, attempt, m, Served, Replica, p.g.now)
+		}
+	}
+	for _, a := range p.g.run(d) {
+		called = called || a.Kind == Watch
+	}
+	return called
+}
+
 // TestSavedListDuringRelease guards against sends by an outdated list that was handed over while members were
 // being replaced.
 func TestSavedListDuringRelease(t *testing.T) {
--- a/decide/savedlist.go
+++ b/decide/savedlist.go
@@ -20,22 +20,34 @@
 
 // trustSaved sets until when the list from before a restart is used as it is.
 func (r *Router) trustSaved(list []Member) {
-	r.savedListUntil = r.now + savedListTime
+	r.listTrustedUntil = r.now + savedListTime
 	newest, draining := distantPast, false
 	for i := range list {
 		newest = max(newest, list[i].Started)
 		draining = draining || list[i].State == Draining
 	}
 	if draining || r.now-newest < releaseDuration {
-		r.savedListUntil = min(max(newest+maxUpdateDelay, r.now+minSavedListTime), r.savedListUntil)
+		r.listTrustedUntil = min(max(newest+maxUpdateDelay, r.now+minSavedListTime), r.listTrustedUntil)
 	}
 }
 
-// mayBeDraining reports that m may have been draining for so long that nothing may be sent to it: the first call to
-// discovery since the front started is still outstanding, and m has not accepted a request lately. Once a call has
-// failed the list is used as it is, as fronts go on with it while discovery is down.
+// trustDuringPause sets until when the list is used as it is after a call that discovery refused, which is called again
+// after the pause. A short pause leaves the next call the time to tell of changes within maxUpdateDelay. After a longer
+// one they count as told before: changes that the list lacks were made before the refusal, as far as the front must know
+// of them, and it goes on with members that accept requests.
+func (r *Router) trustDuringPause(pause Time) {
+	r.listTrustedUntil = distantFuture
+	if pause > maxPacedPause {
+		r.listTrustedUntil = r.now + acceptedEvidenceTime
+	}
+}
+
+// mayBeDraining reports that m may have been draining for so long that nothing may be sent to it: discovery has told of no
+// change for too long, though it may be reachable, and m has not accepted a request lately. That is while the first call
+// since the front started is outstanding, and in a long pause after a refused call. Otherwise the list is used as it is
+// after a failed call, as fronts go on with it while discovery is down.
 func (r *Router) mayBeDraining(m *member) bool {
-	return r.now >= r.savedListUntil && r.now-m.acceptedAt >= acceptedEvidenceTime
+	return r.now >= r.listTrustedUntil && r.now-m.acceptedAt >= acceptedEvidenceTime
 }
 
 // recordEnd records what the end of an attempt shows of its member.
--- a/decide/state.go
+++ b/decide/state.go
@@ -32,14 +32,14 @@
 	primarySearchGap    Time                 // interval between checks of a member that may be primary
 	reportAge           Time                 // usual age of the positions that probes report
 
-	pacer          DiscoveryPacer // schedules the calls to discovery
-	wakeAt         Time           // next requested timer event
-	sweptAt        Time           // last sweep of the active groups
-	sweptAllAt     Time           // last sweep of all groups
-	nextLogAt      Time           // earliest time of the next log text
-	watchAt        Time           // next call to discovery
-	watchSentAt    Time           // last call that has no reply yet, distantPast = none
-	savedListUntil Time           // the saved list is used as it is until then; distantFuture once discovery answered, or failed
+	pacer            DiscoveryPacer // schedules the calls to discovery
+	wakeAt           Time           // next requested timer event
+	sweptAt          Time           // last sweep of the active groups
+	sweptAllAt       Time           // last sweep of all groups
+	nextLogAt        Time           // earliest time of the next log text
+	watchAt          Time           // next call to discovery
+	watchSentAt      Time           // last call that has no reply yet, distantPast = none
+	listTrustedUntil Time           // the list is used as it is until then; distantFuture while discovery tells of changes in time, or can't be reached
 }
 
 // class is a Class with what was learned of it. Requests hold it: its Class never changes.
