A member whose speed a gateway doesn't know counts as a weak one in slow start

Cause: what a kind can do was taken to be the usual work until shown otherwise, and the weakness of a kind was forgotten with the weak member that was replaced.

Change: unknown members count as 0.6 of the mean until their kind's warm members show more, beyond chance; that estimate falls at once and rises within a minute. The headroom shrinks with the square of what a member bears.

TestSlowStartBudgetByFleetSize wanted members that no front ever saw warm to use 0.3 of the full headroom of an average member, which is what a weak one may not get. It now measures against the budget that the fronts grant, with the same 0.3 and 1.3, and checks the grant itself against the constants.

--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -27,6 +27,7 @@
 	seed                       uint64
 	slowSpeed                  float64 // speed of the second member of each group as a multiple of the others' speed; 0: all are alike
 	tellsKind                  bool    // the list tells which members are slow
+	allRestart                 bool    // all routers restart at the faults, not a third of them around the faults
 }
 
 func (d slowStartScenario) String() string {
@@ -491,7 +492,9 @@
 func (s *fleetSim) run() {
 	s.later(warmUpTime, s.injectFaults)
 	for _, f := range s.fronts { // a third of the routers restart meanwhile
-		if s.rng.IntN(3) == 0 {
+		if s.allRestart {
+			s.later(warmUpTime+Time(s.rng.Float64()*2*float64(time.Second)), func() { s.boot(f) })
+		} else if s.rng.IntN(3) == 0 {
 			s.later(warmUpTime-2*time.Second+Time(s.rng.Float64()*12*float64(time.Second)), func() { s.boot(f) })
 		}
 	}
@@ -541,21 +544,23 @@
 }
 
 // TestSlowStartOfUnequalMembers guards against a slow-start budget that takes all members to be alike: a slow one was sent more
-// than it may get, by up to all that it is slower than others.
+// than it may get, by up to all that it is slower than others, also by routers that have just started and do not know its speed.
 func TestSlowStartOfUnequalMembers(t *testing.T) {
 	for _, size := range []struct {
 		routers, groups, each int
 		rate                  float64
 		fault                 string
-		tellsKind             bool
-	}{{3, 3, 3, 270, "one", false}, {3, 3, 3, 270, "one", true}, {20, 3, 4, 80, "one", false}, {3, 3, 3, 270, "renewed", true}} {
+		tellsKind, allRestart bool
+	}{{3, 3, 3, 270, "one", false, false}, {3, 3, 3, 270, "one", true, false}, {20, 3, 4, 80, "one", false, false}, {3, 3, 3, 270, "renewed", true, false},
+		{3, 3, 3, 270, "renewed", false, false}, {3, 3, 3, 270, "one", true, true}, {20, 3, 4, 80, "renewed", false, true}} {
 		used := 0.0
 		for seed := range uint64(4 * *coldSeeds) {
 			s := newFleetSim(slowStartScenario{routers: size.routers, groups: size.groups, groupSize: size.each, rate: size.rate, span: 15 * time.Second,
-				fault: size.fault, marksRetries: seed%2 == 0, seed: seed, slowSpeed: 0.56, tellsKind: size.tellsKind})
+				fault: size.fault, marksRetries: seed%2 == 0, seed: seed, slowSpeed: 0.56, tellsKind: size.tellsKind, allRestart: size.allRestart})
 			s.run()
 			used += s.used
-			t.Logf("%v, kind told %v: %.2f roots of N beyond N + 2, used %.2f of N", s.slowStartScenario, size.tellsKind, s.worst, s.used/s.allowed)
+			t.Logf("%v, kind told %v, all restart %v: %.2f roots of N beyond N + 2, used %.2f of N", s.slowStartScenario, size.tellsKind, size.allRestart, s.worst,
+				s.used/s.allowed)
 			if s.worst > 2 {
 				t.Errorf("%v, kind told %v: %.2f roots of N beyond N + 2: %s", s.slowStartScenario, size.tellsKind, s.worst, s.worstAt)
 			}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -304,7 +304,8 @@
 }
 
 // The work that all fronts together send to a member in slow start keeps to its budget, and uses it, in small fleets
-// and in large ones, where the budget of one front is far below one request.
+// and in large ones, where the budget of one front is far below one request. The budget itself is that of a member which was
+// never seen warm, or more.
 func TestSlowStartBudgetByFleetSize(t *testing.T) {
 	for _, fronts := range []int{1, 5, 80, 200} {
 		const groups, rate = 5, 100.0 // requests a second of all fronts, a fifth of them writes
@@ -331,11 +332,12 @@
 			g.step(Event{Kind: ListFull, Members: list})
 			rigs = append(rigs, g)
 		}
-		cold := map[string]float64{}
-		all := 0.0
+		cold, granted := map[string]float64{}, map[string]float64{}
+		usual := 0.0 // that of a member, as the fronts know it
 		for id := range 60 * int(rate) {
 			f := int(float64(fronts) * rng.Float64() * rng.Float64()) // unevenly
 			g, class := rigs[f], anyRead
+			from := g.now
 			if id%5 == 0 {
 				class = once
 			}
@@ -346,21 +348,26 @@
 			if class == once {
 				cost = 100 * ms
 			}
-			all += float64(cost)
 			for _, a := range actionsOf(as, Send, uint64(id+1)) {
 				cold[a.Member] += float64(cost)
 				g.now += cost
 				g.answer(uint64(id+1), 0, a.Member, Served, RoleUnknown, 0)
 			}
 			g.step(Event{Kind: ClientGone, Request: uint64(id + 1)})
+			for _, id := range []string{"00", "11"} {
+				granted[id] += g.r.warmWork(g.r.members[id]) * 0.24 * 2.5 * float64(g.now-from)
+			}
+			usual += g.r.usualWork() * 0.24 * 2.5 * float64(g.now-from)
 		}
-		usual := all / (3 * groups) // per member
 		for _, id := range []string{"00", "11"} {
-			part := cold[id] / usual / (0.24 * 2.5 * slowStartHeadroom)
-			t.Logf("%d fronts: %s took %.2f of its budget", fronts, id, part)
+			part, ofUsual := cold[id]/granted[id], granted[id]/usual
+			t.Logf("%d fronts: %s took %.2f of its budget, which is %.2f of the usual work", fronts, id, part, ofUsual)
 			if part > 1.3 || part < 0.3 {
 				t.Errorf("%d fronts sent %s %.2f of its budget", fronts, id, part)
 			}
+			if least := unknownShare * headroom(unknownShare); ofUsual < least || ofUsual > slowStartHeadroom {
+				t.Errorf("%d fronts: the budget of %s is %.2f of the usual work, want %.2f to %.2f", fronts, id, ofUsual, least, slowStartHeadroom)
+			}
 		}
 	}
 }
--- a/decide/kindload.go
+++ b/decide/kindload.go
@@ -17,6 +17,9 @@
 	warmPriorTime     = 2 * time.Second
 	warmPriorRequests = 16.0
 
+	// unknownShare is the share of a member of which nothing is known: it may be one of the weakest.
+	unknownShare = 0.6
+
 	// forgottenKindTime is the decayed time of all members of a kind below which a kind that is not listed is dropped.
 	forgottenKindTime = time.Millisecond
 )
@@ -25,7 +28,8 @@
 type kindLoad struct {
 	primaries, replicas roleLoad
 	listed              int     // members of the kind at the last sweep
-	leastShare          float64 // least credible share of a warm member at the last sweep, at most 1
+	leastShare          float64 // share that is expected of a member that was never seen warm, at most 1
+	measured            shareRange
 }
 
 // roleLoad is what the warm members of one kind and role served this front. The counts decay over usualWorkWindow.
@@ -49,9 +53,19 @@
 	return (l.served + prior*warmPriorRequests) / (l.expected + warmPriorRequests)
 }
 
-// credibleShare is the share, plus its standard error: with few requests counted it is not below 1.
-func (l *warmLoad) credibleShare() float64 {
-	return l.share(1) + math.Sqrt(l.served+warmPriorRequests)/(l.expected+warmPriorRequests)
+// shareError is the standard error of the share.
+func (l *warmLoad) shareError() float64 {
+	return math.Sqrt(l.served+warmPriorRequests) / (l.expected + warmPriorRequests)
+}
+
+// shareRange is the range in which the least share of the warm members of a kind lies, as of the last sweep.
+type shareRange struct{ from, to float64 }
+
+// add takes a warm member's share into account.
+func (s *shareRange) add(l *warmLoad) {
+	share, deviation := l.share(1), l.shareError()
+	s.from = min(s.from, share-deviation)
+	s.to = min(s.to, share+deviation)
 }
 
 // ofRole returns the load of the members of m's role.
@@ -62,6 +76,16 @@
 	return &l.replicas
 }
 
+// updateLeastShare follows the measured range: as long as that is wide, it stays at the share of an unknown member. It falls
+// at once and rises slowly, as the weak members of a kind may be those that have just been replaced.
+func (l *kindLoad) updateLeastShare(fade float64) {
+	if l.primaries.members+l.replicas.members == 0 {
+		return
+	}
+	least := min(l.measured.to, max(l.measured.from, unknownShare))
+	l.leastShare = min(least, least+(l.leastShare-least)*fade)
+}
+
 // rate is the number of requests that a member served per ns; 0 while nothing is known.
 func (l *roleLoad) rate() float64 {
 	if l.time == 0 {
@@ -95,7 +119,7 @@
 		l = r.kindLoads[kind]
 	}
 	if l == nil {
-		l = &kindLoad{primaries: roleLoad{served: map[string]float64{}}, replicas: roleLoad{served: map[string]float64{}}, leastShare: 1}
+		l = &kindLoad{primaries: roleLoad{served: map[string]float64{}}, replicas: roleLoad{served: map[string]float64{}}, leastShare: unknownShare}
 		r.kindLoads[kind] = l
 	}
 	return l
@@ -123,7 +147,7 @@
 	for _, l := range r.kindLoads {
 		l.primaries.advance(span, fade)
 		l.replicas.advance(span, fade)
-		l.primaries.members, l.replicas.members, l.listed, l.leastShare = 0, 0, 0, 1
+		l.primaries.members, l.replicas.members, l.listed, l.measured = 0, 0, 0, shareRange{1, 1}
 	}
 	for _, m := range r.members {
 		m.warmLoad.kind.listed++
@@ -132,6 +156,7 @@
 		}
 	}
 	for kind, l := range r.kindLoads {
+		l.updateLeastShare(fade)
 		if l.listed == 0 && l.primaries.time+l.replicas.time < float64(forgottenKindTime) {
 			delete(r.kindLoads, kind)
 		}
@@ -145,13 +170,13 @@
 	role.members++
 	l.served *= fade
 	l.expected = l.expected*fade + role.rate()*float64(span)
-	l.kind.leastShare = min(l.kind.leastShare, l.credibleShare())
+	l.kind.measured.add(l)
 }
 
 // warmWork is the work per unit of time that m can be expected to take once it is warm: what warm members of its kind bear,
-// less where m itself bore less than others, and not more than the usual work; and the headroom above that, which is less
-// where they bear less than usual, as weak members work closer to their capacity. Of a member that has not been seen warm
-// no more is expected than of the weakest one of its kind.
+// less where m itself bore less than others, and not more than the usual work; and the headroom above that. Of a
+// member that has not been seen warm no more is expected than of the weakest one of its kind, or of an unknown member while
+// this front knows too little of the kind.
 func (r *Router) warmWork(m *member) float64 {
 	usual := r.usualWork()
 	if usual == 0 {
@@ -159,9 +184,13 @@
 	}
 	l := m.warmLoad.kind
 	borne := min(usual, r.borneWork(l, usual)) * min(1, m.warmLoad.share(l.leastShare))
-	return borne * (1 + (slowStartHeadroom-1)*borne/usual)
+	return borne * headroom(borne/usual)
 }
 
+// headroom is the factor on what a member bears that it can be expected to take, by what it bears as a fraction of the usual
+// work: weak members work closer to their capacity.
+func headroom(fraction float64) float64 { return 1 + (slowStartHeadroom-1)*fraction*fraction }
+
 // borneWork is the work per unit of time that each warm member of a kind served. While little is known of the kind it is
 // close to the usual work.
 func (r *Router) borneWork(l *kindLoad, usual float64) float64 {
