Further refusals by discovery don't make an old list hold anew

Cause: trustDuringPause set the limit anew from each refusal.

Change: the limit of the first refusal with a long pause stands until discovery answers or can't be reached. Fleets whose pauses are short go on by their list as before.

TestListAfterRefusedCalls now counts from that refusal and plays eleven refusals too: before, 80 fronts sent 6.26 s after it at the tenth; now it passes for 3 to 900.

--- a/decide/memberlist.go
+++ b/decide/memberlist.go
@@ -24,7 +24,7 @@
 		r.watchAt = r.now + r.pacer.InitialPause()
 		r.trustSaved(e.Members)
 	case DiscoveryUnreachable: // the old list stays in use
-		r.listTrustedUntil = distantFuture
+		r.trustList()
 	case ListError:
 		pause := r.pacer.PauseAfterRefusal(r.budgetShares[DiscoveryBudget])
 		r.watchAt, r.watchSentAt = r.now+pause, distantPast
@@ -34,7 +34,8 @@
 		if r.watchSentAt != distantPast {
 			r.pacer.Answered(r.now - r.watchSentAt)
 		}
-		r.watchAt, r.watchSentAt, r.listTrustedUntil = distantFuture, distantPast, distantFuture
+		r.watchAt, r.watchSentAt = distantFuture, distantPast
+		r.trustList()
 	}
 }
 
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -316,11 +316,12 @@
 }
 
 // TestListAfterRefusedCalls guards against sends to a draining member by a list that is used without limit after discovery
-// refused a call, while a large fleet pauses for longer than the 6 s within which changes count as told.
+// refused a call, while a large fleet pauses for longer than the 6 s within which changes count as told. Further refusals do not
+// begin that time anew.
 func TestListAfterRefusedCalls(t *testing.T) {
 	const told, grace = 6 * time.Second, 250 * ms
 	for _, fronts := range []int{3, 30, 80, 101, 300, 900} {
-		for _, refusals := range []int{1, 2, 9} {
+		for _, refusals := range []int{1, 2, 9, 11} {
 			for _, answered := range []bool{false, true} {
 				for seed := range uint64(5) {
 					g := newRig(t, func(c *Config) { c.ListOnRequest, c.MayProbe, c.Fronts = true, false, fronts }, members())
@@ -332,15 +333,20 @@
 						g.step(Event{Kind: ListChange})
 					}
 					d := &drainPlay{g: g, drains: "s"}
-					for range refusals { // s drains from the first refusal on
+					from, paused := g.now, false // the refusal from which on changes count as told
+					for n := range refusals {    // s drains from the first refusal on
 						g.step(Event{Kind: ListError})
-						from := g.now
-						for called := false; !called && g.now < from+2*time.Minute; {
+						refused := g.now
+						if !paused {
+							from = refused
+						}
+						for called := false; !called && g.now < refused+2*time.Minute; {
 							called = d.ask(10 * ms)
 							if late := d.lastSent - from; late > told+grace {
-								t.Fatalf("%d fronts, %d refusals, answered before %v: sent %v after the refusal", fronts, refusals, answered, late)
+								t.Fatalf("%d fronts, refusal %d of %d, answered before %v: sent %v after the first with a long pause", fronts, n+1, refusals, answered, late)
 							}
 						}
+						paused = paused || g.now-refused > maxPacedPause+10*ms
 					}
 					if d.served < d.asked/2 {
 						t.Errorf("%d fronts, %d refusals, answered before %v: %d of %d requests served", fronts, refusals, answered, d.served, d.asked)
--- a/decide/savedlist.go
+++ b/decide/savedlist.go
@@ -34,17 +34,23 @@
 // trustDuringPause sets until when the list is used as it is after a call that discovery refused, which is called again
 // after the pause. A short pause leaves the next call the time to tell of changes within maxUpdateDelay. After a longer
 // one they count as told before: changes that the list lacks were made before the refusal, as far as the front must know
-// of them, and it goes on with members that accept requests.
+// of them, and it goes on with members that accept requests. Further refusals do not make the list any newer.
 func (r *Router) trustDuringPause(pause Time) {
-	r.listTrustedUntil = distantFuture
-	if pause > maxPacedPause {
-		r.listTrustedUntil = r.now + acceptedEvidenceTime
+	switch {
+	case r.listOutdated:
+	case pause > maxPacedPause:
+		r.listOutdated, r.listTrustedUntil = true, r.now+acceptedEvidenceTime
+	default:
+		r.listTrustedUntil = distantFuture
 	}
 }
 
+// trustList lets the list be used as it is: it is current, or discovery can't be reached.
+func (r *Router) trustList() { r.listOutdated, r.listTrustedUntil = false, distantFuture }
+
 // mayBeDraining reports that m may have been draining for so long that nothing may be sent to it: discovery has told of no
 // change for too long, though it may be reachable, and m has not accepted a request lately. That is while the first call
-// since the front started is outstanding, and in a long pause after a refused call. Otherwise the list is used as it is
+// since the front started is outstanding, and from a refused call with a long pause on. Otherwise the list is used as it is
 // after a failed call, as fronts go on with it while discovery is down.
 func (r *Router) mayBeDraining(m *member) bool {
 	return r.now >= r.listTrustedUntil && r.now-m.acceptedAt >= acceptedEvidenceTime
