--- a/decide/memberlist.go
+++ b/decide/memberlist.go
@@ -43,6 +43,8 @@
 func (r *Router) handleList(e *Event) {
 	if r.cfg.ListOnRequest {
 		r.paceDiscovery(e)
+	} else {
+		r.trustPushed(e.Kind)
 	}
 	named := make(map[string]bool, len(e.Members))
 	for i := range e.Members {
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -357,6 +357,34 @@
 	}
 }
 
+// TestPushedListAfterRefusedCall guards against sends to a draining member by a pushed list that is used without limit after
+// discovery refused a call, and against leaving the member out once discovery answers again.
+func TestPushedListAfterRefusedCall(t *testing.T) {
+	const told, grace = 6 * time.Second, 250 * ms
+	for _, kind := range []EventKind{ListChange, DiscoveryUnreachable} {
+		g := newRig(t, func(c *Config) { c.MayProbe, c.Fronts = false, 300 }, members())
+		d := &drainPlay{g: g, drains: "s"}
+		refused := g.now
+		for g.now < refused+20*time.Second {
+			if (g.now-refused)%(5*time.Second) == 0 {
+				g.step(Event{Kind: ListError})
+			}
+			d.ask(10 * ms)
+		}
+		if d.lastSent > refused+told+grace || d.served < d.asked/2 {
+			t.Errorf("sent to the draining member %v after the refusal, %d of %d requests served", d.lastSent-refused, d.served, d.asked)
+		}
+		answered := g.now
+		g.step(Event{Kind: kind})
+		for range 500 {
+			d.ask(10 * ms)
+		}
+		if d.lastSent < answered {
+			t.Errorf("after event %d nothing is sent to the member that was left out", kind)
+		}
+	}
+}
+
 // drainPlay asks a router for reads. All members serve them but one, which refuses them as it drains.
 type drainPlay struct {
 	g             *routerTest
--- a/decide/savedlist.go
+++ b/decide/savedlist.go
@@ -45,6 +45,18 @@
 	}
 }
 
+// trustPushed sets until when the list is used as it is after a list event, where lists are pushed. What pushes them is
+// silent while discovery is down: if it refused a call, it could be reached. When it is called again is not known here.
+func (r *Router) trustPushed(kind EventKind) {
+	switch kind {
+	case ListSaved:
+	case ListError:
+		r.trustDuringPause(maxUpdateDelay)
+	default:
+		r.trustList()
+	}
+}
+
 // trustList lets the list be used as it is: it is current, or discovery can't be reached.
 func (r *Router) trustList() { r.listOutdated, r.listTrustedUntil = false, distantFuture }
 
