--- a/decide/kindload.go
+++ b/decide/kindload.go
@@ -20,6 +20,9 @@
 	// unknownShare is the share of a member of which nothing is known: it may be one of the weakest.
 	unknownShare = 0.6
 
+	// warmSweepInterval is the time between two sweeps of all members: a sweep costs more the more of them there are.
+	warmSweepInterval = 500 * time.Millisecond
+
 	// forgottenKindTime is the decayed time of all members of a kind below which a kind that is not listed is dropped.
 	forgottenKindTime = time.Millisecond
 )
@@ -139,8 +142,11 @@
 	l.all++
 }
 
-// sweepWarmLoads adds the time since the last sweep to what is known of warm members and of their kinds.
+// sweepWarmLoads adds the time since the last sweep to what is known of warm members and of their kinds, if a sweep is due.
 func (r *Router) sweepWarmLoads() {
+	if r.now-r.warmSweptAt < warmSweepInterval {
+		return
+	}
 	span := min(r.now-r.warmSweptAt, usualWorkWindow) // the first sweep follows distantPast
 	fade := math.Exp(-float64(span) / float64(usualWorkWindow))
 	r.warmSweptAt = r.now
