A listener that is shut takes in waiting connections also when it is held up

Cause: Accept gets a deadline 3 ms ahead. If the process gets no processor time for that long before the call, Go's Accept returns without looking for a connection, and the socket was closed over its backlog.

Change: at the deadline, before closeBy, the listener is closed only if no connection waits.

TestListenerHeldUp failed before and passes (20 runs with the race detector).

--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -4,7 +4,10 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // toggleListener is the client-facing listener. It can be disabled and enabled again while the gateway runs. While it
@@ -67,6 +70,8 @@
 		var netErr net.Error
 		switch timeout := errors.As(err, &netErr) && netErr.Timeout(); {
 		case d.inner != l:
+		case timeout && (d.disabled || d.closed) && time.Now().Before(d.closeBy) && connectionWaits(l):
+			// The deadline had passed before Accept looked: this process got no processor time for a while.
 		case timeout && d.disabled, d.closed:
 			_ = l.Close()
 			d.inner = nil
@@ -80,6 +85,24 @@
 	}
 }
 
+// connectionWaits reports whether Accept of l would return a connection at once. It returns false if the system can't tell.
+func connectionWaits(l net.Listener) (waits bool) {
+	s, ok := l.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	_ = raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(p, 0)
+		waits = err == nil && n > 0 && p[0].Revents&unix.POLLIN != 0
+	})
+	return waits
+}
+
 // setAcceptDeadline sets the deadline of l's Accept. It returns false if l does not support deadlines.
 func setAcceptDeadline(l net.Listener, t time.Time) bool {
 	x, ok := l.(interface{ SetDeadline(time.Time) error })
--- a/internal/gateway/listener_test.go
+++ b/internal/gateway/listener_test.go
@@ -84,6 +84,48 @@
 	}
 }
 
+// lateListener is a listener whose first Accept is held up until its deadline has passed.
+type lateListener struct {
+	*net.TCPListener
+	calls atomic.Int64
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	if l.calls.Add(1) == 1 {
+		time.Sleep(2 * closeAfterIdle)
+	}
+	return l.TCPListener.Accept()
+}
+
+// TestListenerHeldUp guards against the reset of connections that wait when the listener is disabled, by a process that gets no
+// processor time before it looks for them.
+func TestListenerHeldUp(t *testing.T) {
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	toggle := newToggleListener(&lateListener{TCPListener: l})
+	c, err := net.Dial("tcp", toggle.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	toggle.Disable()
+	go func() {
+		if c, err := toggle.Accept(); err == nil {
+			_, _ = c.Write([]byte{1})
+			_, _ = toggle.Accept()
+		}
+	}()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	if n, err := c.Read(make([]byte, 1)); n != 1 {
+		t.Errorf("the connection that waited ended with %v, want it accepted", err)
+	}
+	if err := toggle.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestListenerAcceptsBeforeClosing: connections that wait to be accepted when the listener is disabled or closed are
 // accepted, with what they sent. Then connections are refused, even if clients keep connecting.
 func TestListenerAcceptsBeforeClosing(t *testing.T) {
