A full member stays in use while an old list may not be trusted

In a long pause after a refused call only members that took a request lately are sent to.

Cause: a refusal erased what the member had accepted before, as draining members refuse alike. But what was accepted at a time shows that the member did not drain then, whatever it says later.

Change: a refusal takes nothing back. Only answers of members that worked on the request count: 25006 and 72000 no longer do.

TestFullMembersDuringPause failed before (0 of 10 requests served) and passes; TestListAfterRefusedCalls passes unchanged.

--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -385,6 +385,31 @@
 	}
 }
 
+// TestFullMembersDuringPause guards against leaving out members that accept requests, but refused one as they were full, while the
+// list may not be used as it is.
+func TestFullMembersDuringPause(t *testing.T) {
+	g := newRig(t, func(c *Config) { c.ListOnRequest, c.MayProbe, c.Fronts = true, false, 900 }, members())
+	d := &drainPlay{g: g}
+	g.step(Event{Kind: ListError})
+	for refused := g.now; g.now < refused+6*time.Second; {
+		d.ask(10 * ms)
+	}
+	for _, m := range []string{"p", "q", "s"} { // each refuses one request
+		d.drains = m
+		for began := g.now; d.lastSent < began && g.now < began+time.Second; {
+			d.ask(10 * ms)
+		}
+	}
+	d.drains = ""
+	served := d.served
+	for range 10 {
+		d.ask(10 * ms)
+	}
+	if d.served != served+10 {
+		t.Errorf("%d of 10 requests served after each member had refused one, want all", d.served-served)
+	}
+}
+
 // drainPlay asks a router for reads. All members serve them but one, which refuses them as it drains.
 type drainPlay struct {
 	g             *routerTest
--- a/decide/savedlist.go
+++ b/decide/savedlist.go
@@ -68,12 +68,10 @@
 	return r.now >= r.listTrustedUntil && r.now-m.acceptedAt >= acceptedEvidenceTime
 }
 
-// recordEnd records what the end of an attempt shows of its member.
+// recordEnd records what the end of an attempt shows of its member: it accepted the request if it worked on it. A refusal takes
+// nothing back. A member that is full refuses requests as a draining one does, and neither drained when it accepted the last one.
 func (m *member) recordEnd(a *attempt, result Result) {
-	switch {
-	case result == Full: // draining members refuse requests this way
-		m.acceptedAt = distantPast
-	case result.Answered():
+	if result.Answered() && result.MayHaveRun() {
 		m.acceptedAt = max(m.acceptedAt, a.sent)
 	}
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -75,7 +75,7 @@
 	halfOpenAt      Time    // earliest time of the next half-open probe
 	halfOpenDelay   Time    // delay until the one after it
 	suspectAt       Time    // since when, while suspect
-	acceptedAt      Time    // last send of a request that it accepted; distantPast once it refused one as overloaded
+	acceptedAt      Time    // last send of a request that it accepted
 	peerReportAt    Time    // last report of peers that it is silent
 	probedAt        Time
 	probeGap        Time     // shortest interval between probes for a read
