--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -764,3 +764,29 @@
 	i, _ := slices.BinarySearchFunc(p.due, x, func(a, b dueEvent) int { return cmp.Compare(a.at, b.at+1) })
 	p.due = slices.Insert(p.due, i, x)
 }
+
+// TestSlowStartBudgetAfterLoadRises guards against a budget that grows with what others bear while a member is cold: that it bore
+// its share of less before does not show that it can bear the same share of more.
+func TestSlowStartBudgetAfterLoadRises(t *testing.T) {
+	g := newRig(t, func(c *Config) { c.SlowStartTime, c.OverloadMultiple = time.Hour, 2.5 }, members())
+	bear := func(requests int, span Time, ids ...string) { // requests of each member per 100 ms
+		for end := g.now + span; g.now < end; g.now += 100 * ms {
+			for _, id := range ids {
+				for range requests {
+					g.r.countArrival(g.r.classes[anyRead], true)
+					g.r.countServed(g.r.members[id], g.r.classes[anyRead])
+				}
+			}
+			g.step(Event{Kind: Timer})
+		}
+	}
+	bear(4, 20*time.Second, "p", "q", "s")
+	cold := members()[2]
+	cold.Started = g.now
+	g.step(Event{Kind: ListChange, Members: []Member{cold}})
+	before := g.r.warmWork(g.r.members["s"])
+	bear(16, 30*time.Second, "p", "q")
+	if after := g.r.warmWork(g.r.members["s"]); after > 1.1*before || after < 0.8*before {
+		t.Errorf("the budget of the cold member is %.2f times what it was before others bore four times as much, want 0.8 to 1.1", after/before)
+	}
+}
--- a/decide/kindload.go
+++ b/decide/kindload.go
@@ -48,6 +48,9 @@
 	kind     *kindLoad
 	served   float64 // requests that it served
 	expected float64 // requests that an average member of its kind and role served in the same time
+
+	time       float64 // that time, in ns
+	kindServed float64 // requests that an average member of its kind, of whichever role, served in that time
 }
 
 // share is what the member serves as a multiple of what an average member of its kind and role does; prior while little is
@@ -56,6 +59,15 @@
 	return (l.served + prior*warmPriorRequests) / (l.expected + warmPriorRequests)
 }
 
+// growth is the present rate of the members of its kind as a multiple of their rate while it was warm, at least 1. A member that
+// bore its share then need not be able to bear the same share of more.
+func (l *warmLoad) growth() float64 {
+	if l.time < float64(warmPriorTime) || l.kindServed == 0 {
+		return 1
+	}
+	return max(1, l.kind.rate()*l.time/l.kindServed)
+}
+
 // shareError is the standard error of the share.
 func (l *warmLoad) shareError() float64 {
 	return math.Sqrt(l.served+warmPriorRequests) / (l.expected + warmPriorRequests)
@@ -89,7 +101,16 @@
 	l.leastShare = min(least, least+(l.leastShare-least)*fade)
 }
 
-// rate is the number of requests that a member served per ns; 0 while nothing is known.
+// rate is the number of requests that a member of the kind served per ns; 0 while nothing is known.
+func (l *kindLoad) rate() float64 {
+	time := l.primaries.time + l.replicas.time
+	if time == 0 {
+		return 0
+	}
+	return (l.primaries.all + l.replicas.all) / time
+}
+
+// rate is the number of requests that a member of the role served per ns; 0 while nothing is known.
 func (l *roleLoad) rate() float64 {
 	if l.time == 0 {
 		return 0
@@ -176,20 +197,26 @@
 	role.members++
 	l.served *= fade
 	l.expected = l.expected*fade + role.rate()*float64(span)
+	l.kindServed *= fade
+	l.time *= fade
+	if rate := l.kind.rate(); rate > 0 {
+		l.kindServed += rate * float64(span)
+		l.time += float64(span)
+	}
 	l.kind.measured.add(l)
 }
 
 // warmWork is the work per unit of time that m can be expected to take once it is warm: what warm members of its kind bear,
-// less where m itself bore less than others, and not more than the usual work; and the headroom above that. Of a
-// member that has not been seen warm no more is expected than of the weakest one of its kind, or of an unknown member while
-// this front knows too little of the kind.
+// less where m itself bore less than others or they bore less while it was warm, and not more than the usual work; and the
+// headroom above that. Of a member that has not been seen warm no more is expected than of the weakest one of its kind, or of an
+// unknown member while this front knows too little of the kind.
 func (r *Router) warmWork(m *member) float64 {
 	usual := r.usualWork()
 	if usual == 0 {
 		return 0
 	}
 	l := m.warmLoad.kind
-	borne := min(usual, r.borneWork(l, usual)) * min(1, m.warmLoad.share(l.leastShare))
+	borne := min(usual, r.borneWork(l, usual)/m.warmLoad.growth()) * min(1, m.warmLoad.share(l.leastShare))
 	return borne * headroom(borne/usual)
 }
 
