--- a/decide/kindload.go
+++ b/decide/kindload.go
@@ -103,11 +103,11 @@
 
 // rate is the number of requests that a member of the kind served per ns; 0 while nothing is known.
 func (l *kindLoad) rate() float64 {
-	time := l.primaries.time + l.replicas.time
-	if time == 0 {
+	memberTime := l.primaries.time + l.replicas.time
+	if memberTime == 0 {
 		return 0
 	}
-	return (l.primaries.all + l.replicas.all) / time
+	return (l.primaries.all + l.replicas.all) / memberTime
 }
 
 // rate is the number of requests that a member of the role served per ns; 0 while nothing is known.
