--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -553,21 +553,24 @@
 		tellsKind, allRestart bool
 	}{{3, 3, 3, 270, "one", false, false}, {3, 3, 3, 270, "one", true, false}, {20, 3, 4, 80, "one", false, false}, {3, 3, 3, 270, "renewed", true, false},
 		{3, 3, 3, 270, "renewed", false, false}, {3, 3, 3, 270, "one", true, true}, {20, 3, 4, 80, "renewed", false, true}} {
-		used := 0.0
-		for seed := range uint64(4 * *coldSeeds) {
-			s := newFleetSim(slowStartScenario{routers: size.routers, groups: size.groups, groupSize: size.each, rate: size.rate, span: 15 * time.Second,
-				fault: size.fault, marksRetries: seed%2 == 0, seed: seed, slowSpeed: 0.56, tellsKind: size.tellsKind, allRestart: size.allRestart})
-			s.run()
-			used += s.used
-			t.Logf("%v, kind told %v, all restart %v: %.2f roots of N beyond N + 2, used %.2f of N", s.slowStartScenario, size.tellsKind, size.allRestart, s.worst,
-				s.used/s.allowed)
-			if s.worst > 2 {
-				t.Errorf("%v, kind told %v: %.2f roots of N beyond N + 2: %s", s.slowStartScenario, size.tellsKind, s.worst, s.worstAt)
+		t.Run(fmt.Sprintf("%d routers, %s, kind told %v, all restart %v", size.routers, size.fault, size.tellsKind, size.allRestart), func(t *testing.T) {
+			t.Parallel()
+			used := 0.0
+			for seed := range uint64(4 * *coldSeeds) {
+				s := newFleetSim(slowStartScenario{routers: size.routers, groups: size.groups, groupSize: size.each, rate: size.rate, span: 15 * time.Second,
+					fault: size.fault, marksRetries: seed%2 == 0, seed: seed, slowSpeed: 0.56, tellsKind: size.tellsKind, allRestart: size.allRestart})
+				s.run()
+				used += s.used
+				t.Logf("%v, kind told %v, all restart %v: %.2f roots of N beyond N + 2, used %.2f of N", s.slowStartScenario, size.tellsKind, size.allRestart, s.worst,
+					s.used/s.allowed)
+				if s.worst > 2 {
+					t.Errorf("%v, kind told %v: %.2f roots of N beyond N + 2: %s", s.slowStartScenario, size.tellsKind, s.worst, s.worstAt)
+				}
 			}
-		}
-		if used == 0 {
-			t.Errorf("%d routers, %s: nothing sent to members in slow start", size.routers, size.fault)
-		}
+			if used == 0 {
+				t.Errorf("%d routers, %s: nothing sent to members in slow start", size.routers, size.fault)
+			}
+		})
 	}
 }
 
