--- a/review/lab2/cases.go
+++ b/review/lab2/cases.go
@@ -271,44 +271,75 @@
 	s.verdict(wrong, checked, "a served value is the one that a db machine gave")
 }
 
-// otherProtocolSession: a device stores a note by REST in its session, and reads it again; with the trouble it has
-// reconnected by PostgreSQL, where the quoted key names the session. The replicas lag by some 2 s all the time.
-func otherProtocolSession(s *site, trouble bool) {
+// movedDiscovery: a new configuration moves discovery while discovery is crowded: it fails the gateway's next two calls after
+// they have queued for 2 s. A machine begins to drain right after the new configuration.
+func movedDiscovery(s *site, trouble bool) {
 	s.settings = skimap()
-	s.keyDrop = 2 * time.Second
-	s.store.work = 60 * time.Millisecond
-	_, a, b := s.start(true)
-	a.shipMs, b.shipMs = 2000, 2000
-	time.Sleep(3 * time.Second)
-	stale, checked := 0, 0
-	for n := range 20 {
-		item, note := fmt.Sprintf("note-%d", n), fmt.Sprintf("text %d", n)
-		url := "http://" + s.rest + "/v1/clusters/0/items/" + item
-		code, _, _, err := rest("PUT", url, []byte(note), "Reachwind-Class", "map-edits", "Reachwind-Tenant", "kea-basin", "Reachwind-Session", "skier-1", "Idempotency-Key", "k-"+item, "Reachwind-Deadline-Ms", "3000")
-		s.rec.logf("device PUT %s %q in session skier-1: %d %v", item, note, code, err)
-		if err != nil || code != 200 {
-			continue
-		}
-		time.Sleep(200 * time.Millisecond)
-		var got []byte
-		if trouble {
-			s.rec.logf("TROUBLE: the device's connection ends; it reconnects by PostgreSQL and asks for its note")
-			var sql string
-			if got, sql, err = pgAsk(s.listen, fmt.Sprintf(`/* id=%s,c=my-notes,t=kea-basin,d=1500,cluster=0 */ SELECT doc FROM items WHERE id = '%s'`, newID(), item)); sql != "" {
-				code = 500
-			}
-		} else {
-			code, got, _, err = rest("GET", url, nil, "Reachwind-Class", "my-notes", "Reachwind-Tenant", "kea-basin", "Reachwind-Session", "skier-1", "Reachwind-Deadline-Ms", "1500")
-		}
-		s.rec.logf("device reads %s: %d %v %q", item, code, err, got)
-		if err != nil || code != 200 {
-			continue
+	s.store.work = 40 * time.Millisecond
+	_, _, b := s.start(false)
+	var mu sync.Mutex
+	var hupAt time.Time
+	broken, total, after := 0, 0, 0
+	b.onQuery = func(id, text string, first time.Time) {
+		mu.Lock()
+		defer mu.Unlock()
+		if hupAt.IsZero() {
+			return
 		}
-		checked++
-		if string(got) != note {
-			stale++
-			s.rec.logf("BROKEN: the device was given %q for %s after %q was answered", got, item, note)
+		after++
+		if since := first.Sub(hupAt); since > 4300*time.Millisecond {
+			broken++
+			s.rec.logf("BROKEN: id=%s was sent to db-b %v after SIGHUP, which drains since %v after it", id, since.Round(time.Millisecond), 200*time.Millisecond)
 		}
 	}
-	s.verdict(stale, checked, "my-notes must see what its session has written")
+	stop := make(chan struct{})
+	var done sync.WaitGroup
+	for w := range 4 {
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			p, err := pgDial(s.listen)
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if err != nil {
+					p, err = pgDial(s.listen)
+					continue
+				}
+				id := fmt.Sprintf("w%d-%d", w, n)
+				var v []byte
+				var code string
+				v, code, err = p.query(fmt.Sprintf("/* id=%s,c=field-info,t=kea-basin,d=3000,cluster=0 */ SELECT doc FROM items WHERE id = 'hut'", id))
+				s.rec.logf("client %s: %q %s %v", id, v, code, err)
+				mu.Lock()
+				total++
+				mu.Unlock()
+			}
+		}()
+	}
+	time.Sleep(4 * time.Second)
+	if trouble {
+		s.crowd(2)
+	}
+	old := s.moveDiscovery()
+	mu.Lock()
+	hupAt = time.Now()
+	mu.Unlock()
+	s.rec.logf("SIGHUP, discovery is now at %s", s.discAddr)
+	s.hup()
+	time.Sleep(200 * time.Millisecond)
+	b.turnAway = true
+	b.setState("draining")
+	time.Sleep(1300 * time.Millisecond)
+	old()
+	time.Sleep(8 * time.Second)
+	close(stop)
+	done.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	s.rec.logf("db-b got %d statements after SIGHUP", after)
+	s.verdict(broken, total, "4 s after SIGHUP what discovery has to tell counts as told")
 }
--- a/review/lab2/run-case.sh
+++ b/review/lab2/run-case.sh
@@ -30,6 +30,7 @@
 # As in the deploy file: run = "exec bin/reachwind serve", with the environment that the platform gives.
 (. "$dir/env" && TMPDIR="$dir/tmp" && export TMPDIR && exec /bin/sh -c 'exec bin/reachwind serve') >"$dir/gateway.log" 2>&1 &
 gw=$!
+echo $gw >"$dir/gwpid"
 wait "$lab"
 code=$?
 lab=
--- a/review/lab2/store.go
+++ b/review/lab2/store.go
@@ -12,10 +12,12 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"sort"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -51,20 +53,23 @@
 
 // store is one group: a primary and replicas, and the discovery that lists them.
 type store struct {
-	rec      *recorder
-	stamped  bool          // answers to reads carry lsn_ms; else positions stand only in the report that answers carry
-	work     time.Duration // of a statement
-	keyDrop  time.Duration // repeats of a key are dropped for so long; 0: there are no keys
-	mu       sync.Mutex
-	log      []commit
-	last     int64
-	keys     map[string]keyed
-	members  []*machine
-	version  int64
-	changes  []listChange
-	changed  chan struct{}
-	discAddr string
-	onTell   func(version int64, at time.Time) // called right after discovery has written a list with this version
+	rec       *recorder
+	stamped   bool          // answers to reads carry lsn_ms; else positions stand only in the report that answers carry
+	work      time.Duration // of a statement
+	keyDrop   time.Duration // repeats of a key are dropped for so long; 0: there are no keys
+	mu        sync.Mutex
+	log       []commit
+	last      int64
+	keys      map[string]keyed
+	members   []*machine
+	version   int64
+	changes   []listChange
+	changed   chan struct{}
+	discAddr  string
+	discConns func() // ends the connections of the present discovery
+	refuse    int    // calls of the present discovery that fail
+	moved     bool
+	onTell    func(version int64, at time.Time) // called right after discovery has written a list with this version
 }
 
 type keyed struct {
@@ -455,7 +460,16 @@
 	}
 	s.discAddr = l.Addr().String()
 	mux := http.NewServeMux()
+	server := &http.Server{Handler: mux}
+	s.discConns = func() { _ = server.Close() }
 	mux.HandleFunc("/v1/endpoints", func(w http.ResponseWriter, r *http.Request) {
+		s.rec.logf("discovery is called: %s", r.URL)
+		if s.crowded(r.Host) {
+			time.Sleep(2 * time.Second)
+			s.rec.logf("TROUBLE: discovery fails the call, which has queued for 2 s: 503")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		q := r.URL.Query()
 		var out map[string]any
 		if !q.Has("index") {
@@ -498,10 +512,48 @@
 			s.onTell(out["generation"].(int64), time.Now())
 		}
 	})
-	go func() { _ = http.Serve(l, mux) }()
+	go func() { _ = server.Serve(l) }()
 }
 
 func fatal(format string, args ...any) {
 	fmt.Fprintf(os.Stderr, "lab2: "+format+"\n", args...)
 	os.Exit(2)
 }
+
+// crowd makes the discovery that the list moves to next fail so many calls.
+func (s *store) crowd(calls int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuse = calls
+}
+
+// crowded reports whether a call of the discovery at host fails.
+func (s *store) crowded(host string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if host != s.discAddr || s.refuse == 0 || !s.moved {
+		return false
+	}
+	s.refuse--
+	return true
+}
+
+// moveDiscovery starts discovery at a new address. The function that it returns ends the old one.
+func (s *site) moveDiscovery() (endOld func()) {
+	endOld = s.discConns
+	s.mu.Lock()
+	s.moved = true
+	s.mu.Unlock()
+	s.discovery()
+	return endOld
+}
+
+// hup writes the configuration with discovery's present address, and sends SIGHUP to the gateway.
+func (s *site) hup() {
+	s.writeFiles()
+	text, err := os.ReadFile(filepath.Join(s.dir, "gwpid"))
+	pid, err2 := strconv.Atoi(strings.TrimSpace(string(text)))
+	if err != nil || err2 != nil || syscall.Kill(pid, syscall.SIGHUP) != nil {
+		fatal("the gateway can't be sent SIGHUP")
+	}
+}
