--- a/review/lab2/store.go
+++ b/review/lab2/store.go
@@ -53,23 +53,25 @@
 
 // store is one group: a primary and replicas, and the discovery that lists them.
 type store struct {
-	rec       *recorder
-	stamped   bool          // answers to reads carry lsn_ms; else positions stand only in the report that answers carry
-	work      time.Duration // of a statement
-	keyDrop   time.Duration // repeats of a key are dropped for so long; 0: there are no keys
-	mu        sync.Mutex
-	log       []commit
-	last      int64
-	keys      map[string]keyed
-	members   []*machine
-	version   int64
-	changes   []listChange
-	changed   chan struct{}
-	discAddr  string
-	discConns func() // ends the connections of the present discovery
-	refuse    int    // calls of the present discovery that fail
-	moved     bool
-	onTell    func(version int64, at time.Time) // called right after discovery has written a list with this version
+	rec        *recorder
+	stamped    bool          // answers to reads carry lsn_ms; else positions stand only in the report that answers carry
+	work       time.Duration // of a statement
+	keyDrop    time.Duration // repeats of a key are dropped for so long; 0: there are no keys
+	mu         sync.Mutex
+	log        []commit
+	last       int64
+	keys       map[string]keyed
+	members    []*machine
+	version    int64
+	changes    []listChange
+	changed    chan struct{}
+	discAddr   string
+	discConns  func() // ends the connections of the present discovery
+	refuse     int    // calls of the present discovery that fail
+	moved      bool
+	pauseAfter int
+	pauseFor   time.Duration
+	onTell     func(version int64, at time.Time) // called right after discovery has written a list with this version
 }
 
 type keyed struct {
@@ -326,7 +328,7 @@
 			return
 		}
 		text := strings.TrimRight(string(body), "\x00")
-		if _, err := c.Write(append(m.answer(text, first), msg('Z', "I")...)); err != nil {
+		if err := m.send(c, append(m.answer(text, first), msg('Z', "I")...)); err != nil {
 			return
 		}
 	}
@@ -557,3 +559,35 @@
 		fatal("the gateway can't be sent SIGHUP")
 	}
 }
+
+// pauseNext makes the machine that answers next stop for so long after so many bytes of its answer.
+func (s *store) pauseNext(after int, long time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pauseAfter, s.pauseFor = after, long
+}
+
+// send writes an answer, with the pause that is due.
+func (m *machine) send(c net.Conn, out []byte) error {
+	m.s.mu.Lock()
+	after, long := m.s.pauseAfter, m.s.pauseFor
+	if len(out) <= after || after == 0 {
+		m.s.mu.Unlock()
+		_, err := c.Write(out)
+		return err
+	}
+	m.s.pauseAfter = 0
+	m.s.mu.Unlock()
+	if _, err := c.Write(out[:after]); err != nil {
+		return err
+	}
+	m.s.rec.logf("TROUBLE: %s hangs for %v after %d of %d bytes", m.id, long, after, len(out))
+	time.Sleep(long)
+	_, err := c.Write(out[after:])
+	if err == nil {
+		time.Sleep(50 * time.Millisecond)
+		_, err = c.Write(nil)
+	}
+	m.s.rec.logf("%s goes on, and sends the other %d bytes: %v", m.id, len(out)-after, err)
+	return err
+}
