--- a/review/lab2/cases.go
+++ b/review/lab2/cases.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -292,3 +293,106 @@
 	time.Sleep(6 * time.Second) // what the machine still sends stands in the record
 	s.verdict(lost, checked, "a value that has begun is passed on whole while its machine goes on sending")
 }
+
+// silentDiscovery: the gateway's open watch falls silent, and so does the call by which it opens it anew. A machine begins to
+// drain right after the watch fell silent.
+func silentDiscovery(s *site, trouble bool) {
+	s.settings = skimap()
+	s.store.work = 40 * time.Millisecond
+	s.add("db-c", false)
+	_, _, b := s.start(false)
+	var mu sync.Mutex
+	var silentAt time.Time
+	broken, total, after := 0, 0, 0
+	b.onQuery = func(id, text string, first time.Time) {
+		mu.Lock()
+		defer mu.Unlock()
+		if silentAt.IsZero() {
+			return
+		}
+		after++
+		if since := first.Sub(silentAt); since > 6300*time.Millisecond {
+			broken++
+			s.rec.logf("BROKEN: id=%s was sent to db-b %v after the watch fell silent; db-b drains since 100 ms after it", id, since.Round(time.Millisecond))
+		}
+	}
+	stop := make(chan struct{})
+	var done sync.WaitGroup
+	for w := range 4 {
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			p, err := pgDial(s.listen)
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if err != nil {
+					p, err = pgDial(s.listen)
+					continue
+				}
+				id := fmt.Sprintf("w%d-%d", w, n)
+				var v []byte
+				var code string
+				v, code, err = p.query(fmt.Sprintf("/* id=%s,c=field-info,t=kea-basin,d=3000,cluster=0 */ SELECT doc FROM items WHERE id = 'hut'", id))
+				s.rec.logf("client %s: %q %s %v", id, v, code, err)
+				mu.Lock()
+				total++
+				mu.Unlock()
+			}
+		}()
+	}
+	time.Sleep(4 * time.Second)
+	mu.Lock()
+	silentAt = time.Now()
+	mu.Unlock()
+	if trouble {
+		s.rec.logf("TROUBLE: discovery falls silent on the open watch, and on calls that come in the next 8 s")
+		s.silence(8 * time.Second)
+	}
+	time.Sleep(100 * time.Millisecond)
+	b.turnAway = true
+	b.setState("draining")
+	time.Sleep(12 * time.Second)
+	close(stop)
+	done.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	s.rec.logf("db-b got %d statements after the watch fell silent", after)
+	s.verdict(broken, total, "what a silent watch misses counts as told 6 s after it fell silent")
+}
+
+// slowAtEnd: a client reads a value of 1 MiB from a slow machine, and the gateway gets SIGTERM meanwhile. The platform sends
+// SIGKILL 12 s after SIGTERM, if the gateway has not ended.
+func slowAtEnd(s *site, trouble bool) {
+	s.settings = skimap()
+	s.store.work = 20 * time.Millisecond
+	s.start(false)
+	value := make([]byte, 1<<20)
+	for i := range value {
+		value[i] = byte('a' + i/1024%26)
+	}
+	s.write("map", value, "")
+	time.Sleep(time.Second)
+	s.slowSend(16<<10, 100*time.Millisecond)
+	p, err := pgDial(s.listen)
+	if err != nil {
+		fatal("%v", err)
+	}
+	if trouble {
+		time.AfterFunc(time.Second, func() {
+			s.rec.logf("TROUBLE: SIGTERM")
+			s.signal(syscall.SIGTERM)
+		})
+	}
+	began := time.Now()
+	got, code, err := p.query(fmt.Sprintf("/* id=%s,c=field-info,t=kea-basin,d=3000,cluster=0 */ SELECT doc FROM items WHERE id = 'map'", newID()))
+	s.rec.logf("client: %d bytes, code %q, %v, after %v", len(got), code, err, time.Since(began).Round(time.Millisecond))
+	lost := 0
+	if !bytes.Equal(got, value) {
+		lost = 1
+	}
+	s.verdict(lost, 1, "a value that began before SIGTERM is passed on whole, or is what SIGKILL finds")
+}
--- a/review/lab2/store.go
+++ b/review/lab2/store.go
@@ -53,25 +53,28 @@
 
 // store is one group: a primary and replicas, and the discovery that lists them.
 type store struct {
-	rec        *recorder
-	stamped    bool          // answers to reads carry lsn_ms; else positions stand only in the report that answers carry
-	work       time.Duration // of a statement
-	keyDrop    time.Duration // repeats of a key are dropped for so long; 0: there are no keys
-	mu         sync.Mutex
-	log        []commit
-	last       int64
-	keys       map[string]keyed
-	members    []*machine
-	version    int64
-	changes    []listChange
-	changed    chan struct{}
-	discAddr   string
-	discConns  func() // ends the connections of the present discovery
-	refuse     int    // calls of the present discovery that fail
-	moved      bool
-	pauseAfter int
-	pauseFor   time.Duration
-	onTell     func(version int64, at time.Time) // called right after discovery has written a list with this version
+	rec         *recorder
+	stamped     bool          // answers to reads carry lsn_ms; else positions stand only in the report that answers carry
+	work        time.Duration // of a statement
+	keyDrop     time.Duration // repeats of a key are dropped for so long; 0: there are no keys
+	mu          sync.Mutex
+	log         []commit
+	last        int64
+	keys        map[string]keyed
+	members     []*machine
+	version     int64
+	changes     []listChange
+	changed     chan struct{}
+	discAddr    string
+	discConns   func() // ends the connections of the present discovery
+	refuse      int    // calls of the present discovery that fail
+	moved       bool
+	piece       int
+	piecePause  time.Duration
+	silentUntil time.Time
+	pauseAfter  int
+	pauseFor    time.Duration
+	onTell      func(version int64, at time.Time) // called right after discovery has written a list with this version
 }
 
 type keyed struct {
@@ -389,7 +392,7 @@
 		var repeat bool
 		value, pos, repeat = s.write(keys[0], v, field(text, "k"))
 		tag = "INSERT 0 1"
-		s.rec.logf("%s ran write id=%s key=%s value=%q position=%d repeat=%v", m.id, id, keys[0], value, pos, repeat)
+		s.rec.logf("%s ran write id=%s key=%s value=%.60q position=%d repeat=%v", m.id, id, keys[0], value, pos, repeat)
 	case strings.Contains(text, " FROM pages "):
 		f := strings.Split(keys[0], ":")
 		limit, _ := strconv.Atoi(f[1])
@@ -401,7 +404,7 @@
 	default:
 		value, pos = m.read(keys[0])
 		time.Sleep(s.work)
-		s.rec.logf("%s ran read id=%s key=%s value=%q at position %d (%d ms old)", m.id, id, keys[0], value, pos, nowMs()-pos)
+		s.rec.logf("%s ran read id=%s key=%s value=%.60q at position %d (%d ms old)", m.id, id, keys[0], value, pos, nowMs()-pos)
 	}
 	out := m.roleStatus()
 	if s.stamped || isWrite {
@@ -466,6 +469,7 @@
 	s.discConns = func() { _ = server.Close() }
 	mux.HandleFunc("/v1/endpoints", func(w http.ResponseWriter, r *http.Request) {
 		s.rec.logf("discovery is called: %s", r.URL)
+		began := s.silent()
 		if s.crowded(r.Host) {
 			time.Sleep(2 * time.Second)
 			s.rec.logf("TROUBLE: discovery fails the call, which has queued for 2 s: 503")
@@ -503,6 +507,11 @@
 				}
 			}
 		}
+		if began || s.silent() { // no byte, and no end
+			s.rec.logf("discovery is silent on this call: %s", r.URL)
+			<-r.Context().Done()
+			return
+		}
 		text, _ := json.Marshal(out)
 		w.Header().Set("Content-Type", "application/json")
 		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
@@ -570,6 +579,19 @@
 // send writes an answer, with the pause that is due.
 func (m *machine) send(c net.Conn, out []byte) error {
 	m.s.mu.Lock()
+	piece, wait := m.s.piece, m.s.piecePause
+	if piece > 0 && len(out) > piece {
+		m.s.mu.Unlock()
+		for len(out) > 0 {
+			n := min(piece, len(out))
+			if _, err := c.Write(out[:n]); err != nil {
+				return err
+			}
+			out = out[n:]
+			time.Sleep(wait)
+		}
+		return nil
+	}
 	after, long := m.s.pauseAfter, m.s.pauseFor
 	if len(out) <= after || after == 0 {
 		m.s.mu.Unlock()
@@ -591,3 +613,33 @@
 	m.s.rec.logf("%s goes on, and sends the other %d bytes: %v", m.id, len(out)-after, err)
 	return err
 }
+
+// silence keeps discovery from answering any call that is open or comes within the time.
+func (s *store) silence(long time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silentUntil = time.Now().Add(long)
+}
+
+// silent reports whether a call gets no answer.
+func (s *store) silent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.silentUntil)
+}
+
+// slowSend makes machines send long answers in pieces, with pauses.
+func (s *store) slowSend(piece int, pause time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.piece, s.piecePause = piece, pause
+}
+
+// signal sends the gateway a signal.
+func (s *site) signal(sig syscall.Signal) {
+	text, err := os.ReadFile(filepath.Join(s.dir, "gwpid"))
+	pid, err2 := strconv.Atoi(strings.TrimSpace(string(text)))
+	if err != nil || err2 != nil || syscall.Kill(pid, sig) != nil {
+		fatal("the gateway can't be sent a signal")
+	}
+}
