--- a/decide/api.go
+++ b/decide/api.go
@@ -237,8 +237,10 @@
 	BudgetShares                          // this front's shares of the shared budgets changed
 	DiscoveryUnreachable                  // discovery can't be reached now; an outstanding call keeps trying
 	SavedListCurrent                      // the list of the last ListSaved was kept up to date by another process until now
+	SavedListLimit                        // another process of the front uses a list of its own as it is for Remaining more
 	DiscoveryCalled                       // a call to discovery begins
 	DiscoveryFailed                       // the call ended without an answer; with Result TimedOut it had fallen silent
+	DiscoveryMoved                        // discovery has moved to another address, which is called next
 )
 
 // HasList reports whether events of this kind carry members.
@@ -295,13 +297,13 @@
 	TokenAge    Time   // Arrive: how long ago that write was committed
 	MinPosition Time   // Arrive: a read must also see every commit up to this position; 0 = only what its class requires
 	IsRetry     bool   // Arrive: the client marked it as a retry
-	Remaining   Time   // Arrive: how long the client will wait; DiscoveryCalled: how long the call may wait for a change
+	Remaining   Time   // Arrive: how long the client will wait; DiscoveryCalled: how long the call may wait for a change; SavedListCurrent, SavedListLimit: how long that process would use the list as it is, 0 = not known
 	Waited      Time   // Arrive: how long it has waited already, behind others on its connection
 
 	Member  string // FirstByte, Outcome, Probed
 	Attempt int    // FirstByte, Outcome: its number, from 0 in order of Sends
 	Result  Result // Outcome, Probed, DiscoveryFailed
-	Elapsed Time   // Outcome, Probed
+	Elapsed Time   // Outcome, Probed; DiscoveryMoved: since the front was told of the move
 	Ended   bool   // Outcome: the request has its final answer
 	Reused  bool   // Outcome: Reset of a connection that had been used before
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -153,8 +153,8 @@
 func (r *Router) handle(e *Event) {
 	q := r.requests[e.Request]
 	switch e.Kind {
-	case ListFull, ListSaved, ListChange, ListError, DiscoveryUnreachable, SavedListCurrent,
-		DiscoveryCalled, DiscoveryFailed:
+	case ListFull, ListSaved, ListChange, ListError, DiscoveryUnreachable, SavedListCurrent, SavedListLimit,
+		DiscoveryCalled, DiscoveryFailed, DiscoveryMoved:
 		r.handleList(e)
 	case Arrive:
 		r.handleArrival(e)
--- a/decide/listfreshness.go
+++ b/decide/listfreshness.go
@@ -18,8 +18,13 @@
 
 	// minWatchDelay: what a call that may wait for a change has missed counts as known no sooner than this after its wait.
 	minWatchDelay = 2 * time.Second
+	// maxMoveDelay: what discovery has at its new address counts as known so long after the front was told of the move.
+	maxMoveDelay = 4 * time.Second
 	// sendLead is left for a send that has been decided to be written.
 	sendLead = 100 * time.Millisecond
+	// moveEvidenceTime: requests sent for so long after maxMoveDelay, within the time in which sends must end, show which
+	// members were not draining at its end.
+	moveEvidenceTime = 150 * time.Millisecond
 
 	maxMissedChanges = 32 // most entries of listFreshness.missed
 )
@@ -35,16 +40,19 @@
 	unconfirmed   bool            // the list is from before a restart, and discovery has not answered since
 	savedUntil    Time            // with unconfirmed: no member may be sent to from then on
 
-	refusedAt Time // last refusal of a call, if discovery could be reached since; else distantPast
+	unreachableSince Time // since when every call found that discovery can't be reached; distantFuture = the last one did not
+	refusedAt        Time // last refusal of a call, if discovery could be reached since; else distantPast
 }
 
 // missedChanges are changes made until a time, which count as known from another time on although they did not arrive.
 type missedChanges struct {
 	until, knownFrom Time
+	byMove           bool // discovery moved; else a call fell silent
 }
 
 func newListFreshness() listFreshness {
-	return listFreshness{outdatedFrom: distantFuture, callKnownFrom: distantFuture, savedUntil: distantFuture, refusedAt: distantPast}
+	return listFreshness{outdatedFrom: distantFuture, callKnownFrom: distantFuture, savedUntil: distantFuture, unreachableSince: distantFuture,
+		refusedAt: distantPast}
 }
 
 // update records an answer of discovery: the list is current.
@@ -65,10 +73,14 @@
 	l.savedUntil = min(max(newest+maxUpdateDelay, now+minSavedListTime), now+maxSavedListTime)
 }
 
-// inherit records that another process of the same front kept the list up to date until now.
-func (l *listFreshness) inherit(now Time) {
+// inherit records that another process of the same front kept the list up to date until now, and would have used it as it
+// is for the time usable; 0 = not known.
+func (l *listFreshness) inherit(now, usable Time) {
 	*l = newListFreshness()
 	l.outdatedFrom = now + maxSavedListTime
+	if usable != 0 {
+		l.outdatedFrom = now + min(usable, maxSavedListTime)
+	}
 }
 
 // beginCall records that a call to discovery begins which may wait so long for a change. If it falls silent, what it misses
@@ -83,6 +95,7 @@
 // missed; else only those made from now on are missed.
 func (l *listFreshness) callFailed(now Time, silent bool) {
 	l.outdatedFrom = min(l.outdatedFrom, now+maxUpdateDelay-sendLead)
+	l.unreachableSince = distantFuture
 	if silent {
 		l.miss(now, missedChanges{until: now, knownFrom: l.callKnownFrom})
 	} else if !l.callWaits {
@@ -90,6 +103,12 @@
 	}
 }
 
+// move records that discovery has moved, of which the front was told at a past time.
+func (l *listFreshness) move(now, toldAt Time) {
+	deadline := toldAt + maxMoveDelay
+	l.miss(now, missedChanges{until: deadline, knownFrom: deadline + moveEvidenceTime, byMove: true})
+}
+
 // miss adds an entry to those of missed changes, and drops those that others make needless. Where there are too many, it
 // joins the last one, so that no member may be sent to until discovery answers.
 func (l *listFreshness) miss(now Time, m missedChanges) {
@@ -110,9 +129,9 @@
 	}
 }
 
-// covers reports whether an entry allows no more than another.
+// covers reports whether an entry allows no more than another, also after moves of discovery are dropped.
 func (m missedChanges) covers(o missedChanges) bool {
-	return m.until >= o.until && m.knownFrom <= o.knownFrom
+	return m.until >= o.until && m.knownFrom <= o.knownFrom && (o.byMove || !m.byMove)
 }
 
 // refused records that discovery refused a call. Further refusals do not make the list any newer.
@@ -121,7 +140,7 @@
 		l.savedUntil = now
 	}
 	l.outdatedFrom = min(l.outdatedFrom, now+acceptedEvidenceTime)
-	l.refusedAt = now
+	l.unreachableSince, l.refusedAt = distantFuture, now
 }
 
 // unreachable records that discovery can't be reached: changes that do not count as known yet will not before maxUpdateDelay
@@ -134,6 +153,10 @@
 		l.miss(now, missedChanges{until: l.refusedAt, knownFrom: max(now, l.outdatedFrom)})
 		l.refusedAt = distantPast
 	}
+	l.unreachableSince = min(l.unreachableSince, now)
+	l.missed = slices.DeleteFunc(l.missed, func(m missedChanges) bool {
+		return m.byMove && l.unreachableSince <= m.until && m.until <= now
+	})
 	l.savedUntil = distantFuture
 	l.outdatedFrom = now + maxUpdateDelay - sendLead
 }
@@ -171,11 +194,15 @@
 			r.freshness.limitSaved(r.now, e.Members)
 		}
 	case SavedListCurrent:
-		r.freshness.inherit(r.now)
+		r.freshness.inherit(r.now, e.Remaining)
+	case SavedListLimit:
+		r.freshness.savedUntil = min(r.freshness.savedUntil, r.now+e.Remaining)
 	case DiscoveryCalled:
 		r.freshness.beginCall(r.now, e.Remaining)
 	case DiscoveryFailed:
 		r.freshness.callFailed(r.now, e.Result == TimedOut)
+	case DiscoveryMoved:
+		r.freshness.move(r.now, r.now-e.Elapsed)
 	case DiscoveryUnreachable:
 		r.freshness.unreachable(r.now)
 	case ListError:
--- a/decide/memberlist.go
+++ b/decide/memberlist.go
@@ -22,7 +22,7 @@
 	switch e.Kind {
 	case ListSaved:
 		r.watchAt = r.now + r.pacer.InitialPause()
-	case SavedListCurrent, DiscoveryUnreachable, DiscoveryCalled, DiscoveryFailed: // an outstanding call stays so
+	case SavedListCurrent, SavedListLimit, DiscoveryUnreachable, DiscoveryCalled, DiscoveryFailed, DiscoveryMoved: // an outstanding call stays so
 	case ListError:
 		pause := r.pacer.PauseAfterRefusal(r.budgetShares[DiscoveryBudget])
 		r.watchAt, r.watchSentAt = r.now+pause, distantPast
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -509,3 +509,30 @@
 		t.Error("refused after the list was confirmed")
 	}
 }
+
+// TestManyMissedChanges guards against bounds of the list that are lost, or grow without limit, where discovery moves or falls
+// silent very often.
+func TestManyMissedChanges(t *testing.T) {
+	l, now := newListFreshness(), time.Hour
+	for n := range 1000 {
+		switch n % 3 {
+		case 0:
+			l.move(now, now)
+		case 1:
+			l.beginCall(now, 0)
+		default:
+			l.callFailed(now, true)
+		}
+		now += ms
+		if len(l.missed) > maxMissedChanges {
+			t.Fatalf("%d entries", len(l.missed))
+		}
+	}
+	first := time.Hour + maxMoveDelay + moveEvidenceTime
+	if until := l.usableUntil(); until != first {
+		t.Errorf("the list may be used until %v, want %v", until, first)
+	}
+	if l.permits(first, time.Hour+maxMoveDelay-ms) || !l.permits(first-1, 0) {
+		t.Error("the first move does not bind")
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -161,7 +161,7 @@
 // Sink receives lists, changes and failures. The client calls it on the goroutine of Run.
 type Sink func(kind decide.EventKind, members []core.ListedMember)
 
-// CallSink receives the beginnings and failures of calls. The client calls it on the goroutine of
+// CallSink receives the beginnings and failures of calls, and moves of discovery. The client calls it on the goroutine of
 // Run, in order with the calls of its Sink.
 type CallSink func(decide.Event)
 
@@ -185,9 +185,10 @@
 	fetchRequested  chan struct{}
 	addrChanged     chan struct{}
 
-	mu         sync.Mutex
-	nextAddr   string // the address for the next call
-	cancelCall func() // cancels the current call
+	mu           sync.Mutex
+	nextAddr     string      // the address for the next call
+	pendingMoves []time.Time // of the address, not yet reported to callSink; at most maxPendingMoves
+	cancelCall   func()      // cancels the current call
 
 	// Owned by the goroutine of Run.
 	addr      string // of the current call
@@ -238,15 +239,23 @@
 // Fetch requests the whole list once. It has no effect while a watch is running, which brings all changes.
 func (c *Client) Fetch() { signal(c.fetchRequested) }
 
+// maxPendingMoves bounds the changes of address that are not yet reported; of more the first ones and the last are.
+const maxPendingMoves = 4
+
 // SetAddr cancels the current call and makes all further calls to addr: first for
 // the whole list, as the versions of two services need not agree, then for changes.
-func (c *Client) SetAddr(addr string) {
+// The gateway was told of the address at toldAt.
+func (c *Client) SetAddr(addr string, toldAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if addr == c.nextAddr {
 		return
 	}
 	c.nextAddr = addr
+	if len(c.pendingMoves) == maxPendingMoves {
+		c.pendingMoves = c.pendingMoves[:maxPendingMoves-1]
+	}
+	c.pendingMoves = append(c.pendingMoves, toldAt)
 	signal(c.addrChanged)
 	if c.cancelCall != nil {
 		c.cancelCall()
@@ -339,6 +348,10 @@
 		c.closeConn()
 		c.addr, c.needFull = c.nextAddr, true
 	}
+	for _, toldAt := range c.pendingMoves {
+		c.callSink(decide.Event{Kind: decide.DiscoveryMoved, Elapsed: time.Since(toldAt)})
+	}
+	c.pendingMoves = nil
 	c.cancelCall = cancel
 	return ctx, cancel
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -159,8 +159,8 @@
 }
 
 // reload applies the changes of the configuration files that are possible while the gateway runs. If any part of them is
-// unusable nothing is applied.
-func (g *instance) reload() {
+// unusable nothing is applied. toldAt is when SIGHUP came.
+func (g *instance) reload(toldAt time.Time) {
 	next, err := g.readReload()
 	var apply []func()
 	if err == nil && g.options.EdgePath != "" {
@@ -197,7 +197,7 @@
 	}
 	g.applyReload(next)
 	g.options.Log.Info("reloaded", "discovery", next.config.Discovery)
-	g.discovery.SetAddr(next.config.Discovery)
+	g.discovery.SetAddr(next.config.Discovery, toldAt)
 }
 
 // Run is Serve without signals: it serves listener until term ends, and reloads the configuration at each value of hup.
@@ -330,7 +330,7 @@
 		for {
 			select {
 			case <-hup:
-				g.reload()
+				g.reload(time.Now())
 			case <-ctx.Done():
 				return
 			}
