Let a successor use the member list no longer than the process before it

Callers saw (in a test; no report): where discovery is silent or has moved, a successor used the list that it took over for 4 s more, or its own for 1 to 4 s, though the process before it had 0.5 s left of the time after which changes count as known, and so would have sent to a draining machine for longer.

Cause: the hand-over told the successor that the list is current, not until when.

Change: each process publishes the bound of decide/listfreshness.go in its slot of the shared memory, as a time of CLOCK_MONOTONIC; a successor uses what it begins with until then at most. The word was unused: older processes leave it at 0, which bounds nothing.

Evidence: TestSuccessorUsesListNoLonger fails with the sharing cut out (3.998 s and 1 s for 0.5 s), passes with it.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -28,11 +28,12 @@
 	Decide                  *decide.Config
 
 	seed        uint64
-	memoryBytes int64   // limit in bytes; 0: none
-	maxSockets  int     // limit of descriptors
-	cores       float64 // share of a core
-	listVersion int64   // of Known
-	listCurrent bool    // Known was kept up to date by another process until now
+	memoryBytes int64         // limit in bytes; 0: none
+	maxSockets  int           // limit of descriptors
+	cores       float64       // share of a core
+	listVersion int64         // of Known
+	listCurrent bool          // Known was kept up to date by another process until now
+	listUsable  time.Duration // time of handover.MonotonicNow until which another process uses its list as it is; 0 = not known
 	settings    *settings.Settings
 	source      []byte                 // the file's text, until it is saved for the next process
 	hup         chan os.Signal         // receives SIGHUP since before the file was read; nil: Serve registers for the signal
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -232,10 +232,11 @@
 	budget := c.Budget(edge)
 	work := throttle.NewBudget(c.cores, budget.ClientConnections)
 	buffers := pgwire.NewPool(budget.Buffers, budget.SmallBuffers)
-	engine := core.New(core.NewClock(), router, log)
+	clock := core.NewClock()
+	handover := openHandover(o.HandoverDir, c, clock.Now, log)
+	engine := core.New(clock, handover.shareDeadlines(router), log)
 	pool := pgmember.New(engine, memberPoolConfig(c.settings, budget.MemberConnections, int(passThroughReserve*float64(budget.Buffers))), buffers, dial, log)
 	sink := discovery.Sink(engine.List)
-	handover := openHandover(o.HandoverDir, c, engine.Now, log)
 	handover.loadList(c)
 	handover.saveConfig(c.source)
 	c.source = nil
@@ -293,8 +294,8 @@
 		g.subsystems = append(g.subsystems, p)
 	}
 	sink(decide.ListSaved, c.Known)
-	if c.listCurrent {
-		engine.PostEvent(decide.Event{Kind: decide.SavedListCurrent})
+	if c.listCurrent || c.listUsable != 0 {
+		engine.PostEvent(c.savedListEvent())
 	}
 	g.front = pgfront.New(engine, pgfront.Config{Settings: c.active,
 		MaxConnections: budget.ClientConnections, SpareConnections: int(closingFraction * float64(budget.DividedSockets)),
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -137,6 +137,7 @@
 	if s == nil {
 		return
 	}
+	c.listUsable = s.listUsableUntil()
 	text, err := s.shared.Load(listFile)
 	var list struct {
 		Discovery string
@@ -155,6 +156,29 @@
 	}
 }
 
+// listUsableUntil returns the time until which the other processes use their list of members as it is, by the earliest of
+// them; 0 = not known.
+func (s *processHandover) listUsableUntil() (until time.Duration) {
+	for _, p := range s.shared.Peers() {
+		if p.ListUsableUntil != 0 && (until == 0 || p.ListUsableUntil < until) {
+			until = p.ListUsableUntil
+		}
+	}
+	return until
+}
+
+// savedListEvent returns the event that tells how another process of this gateway uses its list.
+func (c *Config) savedListEvent() decide.Event {
+	e := decide.Event{Kind: decide.SavedListLimit}
+	if c.listCurrent {
+		e.Kind = decide.SavedListCurrent
+	}
+	if c.listUsable != 0 {
+		e.Remaining = max(c.listUsable-handover.MonotonicNow(), 1) // 0 would mean that it is not known
+	}
+	return e
+}
+
 // saveConfig saves the text of an accepted configuration, which the next process uses if it finds the file unusable.
 func (s *processHandover) saveConfig(text []byte) {
 	if s == nil || len(text) == 0 {
@@ -242,6 +266,35 @@
 	return at
 }
 
+// deadlineSharer is a decision module that publishes to the other processes until when this one uses its list of members as
+// it is.
+type deadlineSharer struct {
+	*decide.Router
+	shared    *handover.SharedState
+	published core.Time
+}
+
+// shareDeadlines returns the decision module that runs router and publishes its deadlines, which is router without handover.
+func (s *processHandover) shareDeadlines(router *decide.Router) core.Decider {
+	if s == nil {
+		return router
+	}
+	return &deadlineSharer{Router: router, shared: s.shared}
+}
+
+// Step implements core.Decider.
+func (d *deadlineSharer) Step(now core.Time, events []decide.Event, out []decide.Action) []decide.Action {
+	out = d.Router.Step(now, events, out)
+	if until := d.ListUsableUntil(); until != d.published {
+		d.published = until
+		d.shared.SetListUsableUntil(handover.MonotonicNow() + min(until-now, maxSharedDeadline))
+	}
+	return out
+}
+
+// maxSharedDeadline stands for a list that is used without limit.
+const maxSharedDeadline = 24 * time.Hour
+
 const unboundedFloor = 1<<63 - 1 // floor while there is another process and commits are not shared with it
 
 // checkOthers finds the other processes, retries sharing where it failed, and sets the floor of session reads.
--- a/internal/handover/sharedstate.go
+++ b/internal/handover/sharedstate.go
@@ -33,6 +33,7 @@
 
 	slotsStart, wordsPerSlot                                        = 8, 8
 	slotStartNumber, slotReady, slotDescriptors, slotAppliedChanges = 0, 1, 2, 3 // words of a slot
+	slotListUsableUntil                                             = 4
 
 	sessionsStart = slotsStart + slots*wordsPerSlot
 	totalWords    = sessionsStart + sessionWords
@@ -84,6 +85,8 @@
 	Ready          bool   // it can serve
 	Descriptors    int    // file descriptors that it holds
 	AppliedChanges uint64 // number of state changes that it has applied
+	// ListUsableUntil is the time of MonotonicNow until which it uses its list of members as it is; 0 = not known.
+	ListUsableUntil time.Duration
 }
 
 // Open claims a slot among the processes of the gateway whose folder is dir. If the shared memory cannot be used, it
@@ -276,7 +279,9 @@
 		if memory != nil && s.inodeOf(i) == s.inode {
 			slotMemory := memory[slotsStart+i*wordsPerSlot:]
 			if startNumber := slotMemory[slotStartNumber].Load(); startNumber != 0 {
-				peer = Peer{true, startNumber, startNumber < s.startNumber, slotMemory[slotReady].Load() != 0, int(slotMemory[slotDescriptors].Load()), slotMemory[slotAppliedChanges].Load()}
+				peer = Peer{Joined: true, StartNumber: startNumber, Older: startNumber < s.startNumber, Ready: slotMemory[slotReady].Load() != 0,
+					Descriptors: int(slotMemory[slotDescriptors].Load()), AppliedChanges: slotMemory[slotAppliedChanges].Load(),
+					ListUsableUntil: time.Duration(slotMemory[slotListUsableUntil].Load())}
 			}
 		}
 		all = append(all, peer)
@@ -307,6 +312,22 @@
 	}
 }
 
+// SetListUsableUntil publishes the time of MonotonicNow until which this process uses its list of members as it is.
+func (s *SharedState) SetListUsableUntil(until time.Duration) {
+	if s.Joined() {
+		s.ownWord(slotListUsableUntil).Store(uint64(until))
+	}
+}
+
+// MonotonicNow is the time of a clock that all processes of this machine share and that never steps; 0 if it can't be read.
+func MonotonicNow() time.Duration {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &now); err != nil {
+		return 0
+	}
+	return time.Duration(now.Nano())
+}
+
 // sessionWord returns the index of the word that holds the last commit of a session. Sessions whose hashes collide share a
 // word, which then holds the later of their commits.
 func sessionWord(group int64, session string) int {
