--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -224,5 +224,7 @@
 		},
 		drain: func(context.Context) { f.AnnounceDrain() },
 		stop:  f.Close,
+
+		stopEarly: true, // the fleet is told that this gateway is out
 	}, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,9 +112,10 @@
 	name string
 	// prepare checks a new configuration; apply puts it into force. A configuration that adds or removes the
 	// subsystem is an error, since that takes a restart.
-	prepare func(*Edge) (apply func(), err error)
-	drain   func(context.Context) // for fronts: accept nothing new and answer accepted requests; nil: nothing to do
-	stop    func(context.Context) // called once all fronts have drained; nil: nothing to do
+	prepare   func(*Edge) (apply func(), err error)
+	drain     func(context.Context) // for fronts: accept nothing new and answer accepted requests; nil: nothing to do
+	stop      func(context.Context) // called once all fronts have drained; nil: nothing to do
+	stopEarly bool                  // stop is also called before the last long answers have ended; it may be called twice
 }
 
 // instance is a running gateway.
@@ -326,7 +327,9 @@
 	}
 	defer g.admin.stop()
 	go g.core.Run(ctx)
-	go g.discovery.Run(ctx)
+	discoveryCtx, stopDiscovery := context.WithCancel(ctx)
+	defer stopDiscovery()
+	go g.discovery.Run(discoveryCtx)
 	go func() {
 		for {
 			select {
@@ -365,8 +368,11 @@
 		g.drain(plan.exitBy)
 		close(drained)
 	}()
-	shutDown(plan, g.front, listener, failed, log)
+	ended := shutDown(plan, g.front, listener, failed, log)
 	<-drained
+	if !ended {
+		g.finishLongAnswers(stopDiscovery)
+	}
 	g.stop()
 	g.handover.stop()
 	return nil
@@ -389,12 +395,15 @@
 	done.Wait()
 }
 
-// stop stops the subsystems in the reverse order of their start, all under one deadline.
-func (g *instance) stop() {
+// stop stops all subsystems.
+func (g *instance) stop() { g.stopSubsystems(func(subsystem) bool { return true }) }
+
+// stopSubsystems stops the selected subsystems in the reverse order of their start, all under one deadline.
+func (g *instance) stopSubsystems(selected func(subsystem) bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	for _, p := range slices.Backward(g.subsystems) {
-		if p.stop != nil {
+		if p.stop != nil && selected(p) {
 			p.stop(ctx)
 		}
 	}
@@ -418,8 +427,8 @@
 
 // shutDown keeps accepting while clients may still be routed here, then answers accepted
 // requests and returns when all connections are closed, at the latest before the platform
-// sends SIGKILL.
-func shutDown(p shutdownPlan, front *pgfront.Server, listener net.Listener, served <-chan error, log *slog.Logger) {
+// sends SIGKILL. It reports false if long answers are still being written then.
+func shutDown(p shutdownPlan, front *pgfront.Server, listener net.Listener, served <-chan error, log *slog.Logger) bool {
 	log.Info("stopping", "accept_for", time.Until(p.acceptUntil).Round(time.Millisecond))
 	exitTimer := time.NewTimer(time.Until(p.exitBy))
 	defer exitTimer.Stop()
@@ -440,8 +449,28 @@
 	case <-done:
 		log.Info("stopped")
 	case <-exitTimer.C:
+		if answers := front.LongAnswers(); answers > 0 {
+			log.Info("stopping, but for long answers that are being written", "answers", answers)
+			return false
+		}
 		log.Warn("stopped with connections open", "open", front.OpenConnections())
 	}
+	return true
+}
+
+// finishLongAnswers waits for the long answers that are being written: they have no deadline, and each ends by itself where
+// nothing moves. What a next process needs, or what is no longer of use, is stopped first.
+func (g *instance) finishLongAnswers(stopDiscovery func()) {
+	stopDiscovery()
+	g.admin.stop()
+	g.stopSubsystems(func(p subsystem) bool { return p.stopEarly })
+	ctx, cancel := context.WithTimeout(context.Background(), pgfront.MaxStreamTime)
+	defer cancel()
+	if left := g.front.AwaitLongAnswers(ctx); left > 0 {
+		g.options.Log.Warn("stopped with long answers cut off", "answers", left, "after", pgfront.MaxStreamTime)
+		return
+	}
+	g.options.Log.Info("stopped after long answers", "open", g.front.OpenConnections())
 }
 
 // maxShutdown returns how long the gateway may run after SIGTERM. SIGKILL follows
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -38,6 +38,7 @@
 
 	listApplied atomic.Bool // the core has applied a list with at least one member
 	stopping    atomic.Bool // this process is shutting down
+	stopOnce    sync.Once
 	serving     atomic.Bool // this process accepts clients
 }
 
@@ -73,10 +74,10 @@
 	}
 }
 
-// stop closes the admin API.
+// stop closes the admin API. Further calls do nothing.
 func (o *adminOperator) stop() {
 	if o != nil {
-		o.api.Close()
+		o.stopOnce.Do(o.api.Close)
 	}
 }
 
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -59,6 +59,7 @@
 	idleSince  time.Time // zero while a command is in progress
 	partial    time.Time // when the message began of which a part is still missing; zero: none
 	key        key       // identifies the connection in cancel requests
+	writing    bool      // a long answer is written to it; afterwards until it waits for a command, or has begun to close
 
 	current atomic.Pointer[core.Request] // the request that a cancel request would cancel; set before it is passed to the core
 }
@@ -460,6 +461,7 @@
 // streamAnswer streams an answer. Meanwhile the member's goroutine owns the sending side of the connection; this one
 // continues to read, and detects that the client closes the connection.
 func (c *conn) streamAnswer(q *core.Request, s *pgwire.Stream) error {
+	c.s.markWriting(c)
 	s.Start(&streamWriter{c}, func(tail []byte) {
 		c.Post(message{request: q, streamed: true, tail: tail})
 	})
@@ -558,6 +560,9 @@
 		body := a.Body.(*pgwire.Buf)
 		defer body.Release()
 		body.B = pgwire.AppendReadyForQuery(body.B)
+		if len(body.B) > maxQuickAnswer {
+			c.s.markWriting(c)
+		}
 		return c.write(body.B)
 	case core.Refused:
 		detail := ""
--- a/internal/pgfront/server.go
+++ b/internal/pgfront/server.go
@@ -71,6 +71,7 @@
 	abandonPartial   bool // AbandonPartialMessages was called
 	goroutines       int  // goroutines of connections
 	lingerGoroutines int  // those of them that only wait for their client
+	writing          int  // connections to which a long answer is written
 	changed          sync.Cond
 
 	cancels        cancelState
@@ -211,6 +212,7 @@
 func (s *Server) runLinger(c *conn, maxBytes int) {
 	s.mu.Lock()
 	s.lingerGoroutines++
+	s.endWriting(c)
 	s.changed.Broadcast()
 	s.mu.Unlock()
 	interruptible.LingeringClose(c.Conn.Conn, time.Now().Add(s.conf.LingerTimeout), maxBytes)
@@ -290,6 +292,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.remove(c)
+		s.endWriting(c)
 	})
 }
 
@@ -385,6 +388,7 @@
 	defer s.mu.Unlock()
 	c.idleSince = time.Now()
 	c.hadCommand = c.startDeadline.IsZero()
+	s.endWriting(c)
 }
 
 // markBusy records that a connection has begun to receive a command.
--- a/internal/restfront/server.go
+++ b/internal/restfront/server.go
@@ -85,6 +85,7 @@
 	refusing  int        // connections that are being refused, not counted in openConns
 	lingering []net.Conn // closed for sending, waiting for their clients to close, longest first
 	closers   int        // goroutines that close connections
+	writing   int        // long answers that are being written
 	changed   sync.Cond
 }
 
@@ -158,11 +159,14 @@
 // Addr returns the address of the listener. It must not be called before Start.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// Shutdown stops accepting connections, answers the requests that were read until ctx ends, and closes all connections. It
+// Shutdown stops accepting connections, answers the requests that were read until ctx ends, and closes all connections.
+// Long answers that are being written then are written to their end, which takes WriteTimeout at most. It
 // waits for lingering connections for shutdownLinger at most.
 func (s *Server) Shutdown(ctx context.Context) {
 	if s.http.Shutdown(ctx) != nil {
+		s.awaitWrites()
 		_ = s.http.Close()
+		ctx = context.Background()
 	}
 	s.serving.Wait()
 	ctx, cancel := context.WithTimeout(ctx, shutdownLinger)
@@ -179,6 +183,23 @@
 	}
 }
 
+// awaitWrites waits until no long answer is being written.
+func (s *Server) awaitWrites() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.writing > 0 {
+		s.changed.Wait()
+	}
+}
+
+// countWrite adds n to the long answers that are being written.
+func (s *Server) countWrite(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writing += n
+	s.changed.Broadcast()
+}
+
 // startTracked runs f in the background, and after it then with the lock held; Shutdown waits for both. The lock must be held.
 func (s *Server) startTracked(f, then func()) {
 	s.closers++
@@ -196,6 +217,7 @@
 	lingerTimeout   = time.Second           // timeout of a lingering connection
 	maxLingerBytes  = 1 << 20               // bytes that a lingering connection reads at most
 	shutdownLinger  = 50 * time.Millisecond // wait for lingering connections at a shutdown: longer than a request is in transit
+	maxQuickAnswer  = 16 << 10              // bytes up to which an answer is taken to fit into the buffers of its socket
 	maxRefusing     = 4                     // connections beyond the limit that may be refused and linger at a time
 	refusalResponse = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
 )
@@ -473,8 +495,14 @@
 		return
 	}
 	h.Set("Content-Length", strconv.Itoa(len(value)))
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.conf.WriteTimeout))
+	if len(value) > maxQuickAnswer {
+		s.countWrite(1)
+		defer s.countWrite(-1)
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(time.Now().Add(s.conf.WriteTimeout))
 	_, _ = w.Write(value)
+	_ = control.Flush()
 }
 
 // matchesETag reports whether an If-None-Match field matches a tag, by RFC 9110 section 13.1.2.
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -18,16 +18,18 @@
 
 // Config is what a cluster is made of.
 type Config struct {
-	Groups   int
-	Replicas int           // in each group, beside the primary
-	Lag      time.Duration // by which replicas are behind
-	Work     time.Duration // that a statement takes, by the clock: a member has Slots at once
-	Slots    int
-	Zones    []string      // of members, in turn by their place in the group; empty: all in "a"
-	Host     string        // loopback address, 127.0.0.1 if empty
-	Ports    int           // the first port, 0 = any
-	Elect    time.Duration // after which a replica takes over from a primary that is down or hangs; 0 = never
-	Net      *pipenet.Net  // a network in memory; nil: TCP
+	Groups     int
+	Replicas   int           // in each group, beside the primary
+	Lag        time.Duration // by which replicas are behind
+	Work       time.Duration // that a statement takes, by the clock: a member has Slots at once
+	Slots      int
+	Piece      int // bytes of an answer that a member writes at once, with PiecePause before the next ones; 0 = all
+	PiecePause time.Duration
+	Zones      []string      // of members, in turn by their place in the group; empty: all in "a"
+	Host       string        // loopback address, 127.0.0.1 if empty
+	Ports      int           // the first port, 0 = any
+	Elect      time.Duration // after which a replica takes over from a primary that is down or hangs; 0 = never
+	Net        *pipenet.Net  // a network in memory; nil: TCP
 }
 
 // Cluster is a running stand-in.
--- a/internal/standin/cluster/serve.go
+++ b/internal/standin/cluster/serve.go
@@ -73,7 +73,7 @@
 	pool := pgwire.NewPool(1, 0)
 	buf := pool.Get(pgwire.LargeBufSize, 0)
 	for {
-		written := startWrite(nc, out)
+		written := m.startWrite(nc, out)
 		if !readQuery(r, buf) || <-written != nil {
 			return
 		}
@@ -105,9 +105,16 @@
 
 // startWrite writes b in the background, as the send buffer of a socket allows: a connection of package pipenet has none,
 // and its peer may write several messages before it reads. The returned channel gets the write's error.
-func startWrite(nc net.Conn, b []byte) <-chan error {
+func (m *Member) startWrite(nc net.Conn, b []byte) <-chan error {
 	written := make(chan error, 1)
 	go func() {
+		for piece := m.c.conf.Piece; piece > 0 && len(b) > piece; b = b[piece:] {
+			if _, err := nc.Write(b[:piece]); err != nil {
+				written <- err
+				return
+			}
+			time.Sleep(m.c.conf.PiecePause)
+		}
 		_, err := nc.Write(b)
 		written <- err
 	}()
