Let a cancel request find its request as the answer begins to be streamed

Cause: the connection cleared its current request between its two waits, for the answer and for the end of the stream.

Change: the request stays current from its arrival until its answer is written; for one that has ended a cancel does nothing.

Evidence: TestCancelAsStreamBegins failed before and passes now.

--- a/internal/pgfront/cancel.go
+++ b/internal/pgfront/cancel.go
@@ -92,8 +92,6 @@
 // detects that the client closes the connection. If they fill the reader, it is enlarged within limits; beyond these, the
 // socket is polled for the end of the client's side.
 func (c *conn) awaitAnswer(q *core.Request) (message, error) {
-	c.current.Store(q)
-	defer c.current.Store(nil)
 	c.shrinkReader()
 	for {
 		for i, m := range c.answers {
--- a/internal/pgfront/cancel_test.go
+++ b/internal/pgfront/cancel_test.go
@@ -288,3 +288,34 @@
 		t.Errorf("%c %q", typ, body)
 	}
 }
+
+// TestCancelAsStreamBegins guards against a cancel request that finds no request in progress as the answer begins to be
+// streamed.
+func TestCancelAsStreamBegins(t *testing.T) {
+	f := &fakeCore{}
+	s, _ := newServer(f, 8)
+	nc, r := dialTCP(t, s)
+	_, _ = nc.Write(append(pgwire.AppendStartup(nil, "app", "shop"), queryMessage(selectStatement)...))
+	readStartup(t, r)
+	waitFor(t, func() bool { _, open, _ := f.counts(); return open == 1 })
+	s.mu.Lock() // holds the connection up as it begins to stream
+	var c *conn
+	for c = range s.conns {
+	}
+	q := c.current.Load()
+	stream := pgwire.NewStream()
+	q.Client.Answer(core.Answer{Verdict: core.Served, Body: stream})
+	for until := time.Now().Add(100 * time.Millisecond); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		if c.current.Load() != q {
+			t.Error("a cancel request would find no request")
+			break
+		}
+	}
+	s.mu.Unlock()
+	_, done := stream.AwaitTaker()
+	done([]byte{})
+	if typ, _ := readMessage(t, r); typ != 'Z' {
+		t.Errorf("%c after the answer", typ)
+	}
+	waitFor(t, func() bool { return c.current.Load() == nil })
+}
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -61,7 +61,7 @@
 	key        key       // identifies the connection in cancel requests
 	writing    bool      // a long answer is written to it; afterwards until it waits for a command, or has begun to close
 
-	current atomic.Pointer[core.Request] // the request that a cancel request would cancel; set before it is passed to the core
+	current atomic.Pointer[core.Request] // the request that a cancel request would cancel; set before it is passed to the core, until its answer is written
 }
 
 var (
@@ -442,6 +442,7 @@
 	}
 	q.Client = client{c, q}
 	c.current.Store(q)
+	defer c.current.Store(nil)
 	c.s.core.Arrive(q)
 	m, err := c.awaitAnswer(q)
 	if err != nil {
