Pass on no bytes of a large answer that come after its client cancelled it

Cause: a read that waits is interrupted by a deadline in the past. If bytes come before its goroutine runs again, Go's poller returns them without looking at the deadline, and they were passed on unseen by the mailbox, in which the stop lay.

Change: bytes of an attempt that was stopped are passed on only after a look into the mailbox.

--- a/internal/pgmember/answer.go
+++ b/internal/pgmember/answer.go
@@ -289,6 +289,11 @@
 	for left > 0 {
 		c.watchForStall(a, 1)
 		n, err := c.Reader.Read(chunk[:min(left, len(chunk))])
+		if n > 0 && a.job.stopped.Load() { // a read that was interrupted may still return bytes that came meanwhile
+			if err := onInterrupt(); err != nil {
+				return err
+			}
+		}
 		if n > 0 {
 			left -= n
 			a.streamedBytes += n
--- a/internal/pgmember/through_test.go
+++ b/internal/pgmember/through_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -71,7 +72,10 @@
 	accepted chan net.Conn // the member's ends of connections
 }
 
-func newGatewayFixture(t *testing.T) *gatewayFixture {
+func newGatewayFixture(t *testing.T) *gatewayFixture { return newGatewayFixtureWith(t, Dial) }
+
+// newGatewayFixtureWith is newGatewayFixture with connections to the member that dial opens.
+func newGatewayFixtureWith(t *testing.T, dial Dialer) *gatewayFixture {
 	g := &gatewayFixture{t: t, module: &alwaysRetry{sent: map[uint64]int{}, writes: map[uint64]bool{}}, bufs: pgwire.NewPool(80, 80), accepted: make(chan net.Conn, 100)}
 	member, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -90,7 +94,7 @@
 	log := slog.New(slog.DiscardHandler)
 	owner := core.New(core.NewClock(), g.module, log)
 	pool := New(owner, Config{User: "app", Database: "shop", MaxConns: 100, MemberIdleTimeout: time.Hour, ConnectTimeout: 20 * time.Second,
-		DrainGrace: time.Second}, g.bufs, Dial, log)
+		DrainGrace: time.Second}, g.bufs, dial, log)
 	owner.Connect(pool, nil)
 	owner.List(decide.ListFull, []core.ListedMember{{Addr: member.Addr().String(), Member: decide.Member{ID: "m"}}})
 	book, err := activesettings.NewHolder(&decide.Config{Classes: []decide.Class{{Name: "r", Deadline: time.Minute},
@@ -268,6 +272,65 @@
 	g.waitEnded()
 }
 
+// lateInterruptConn is a connection on which a read that was interrupted while it waited returns the bytes that come next, as
+// it may on a busy machine.
+type lateInterruptConn struct {
+	net.Conn
+	enabled     atomic.Bool
+	interrupted chan struct{} // closed by the first interruption
+	once        sync.Once
+}
+
+func (c *lateInterruptConn) SetReadDeadline(t time.Time) error {
+	if c.enabled.Load() && !t.IsZero() && t.Before(time.Now()) {
+		c.once.Do(func() { close(c.interrupted) })
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (c *lateInterruptConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.enabled.CompareAndSwap(true, false) {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // the next read is interrupted at once
+	}
+	return n, err
+}
+
+// TestBytesAfterInterruption guards against passing on bytes of a large answer that came after its client had cancelled it.
+func TestBytesAfterInterruption(t *testing.T) {
+	conns := make(chan *lateInterruptConn, 1)
+	g := newGatewayFixtureWith(t, func(ctx context.Context, addr string) (net.Conn, error) {
+		nc, err := Dial(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		late := &lateInterruptConn{Conn: nc, interrupted: make(chan struct{})}
+		conns <- late
+		return late, nil
+	})
+	_, r, key := g.client(1, false)
+	m := <-g.accepted
+	g.answerStartup(m)
+	readStatement(t, m)
+	value := strings.Repeat("v", pgwire.MaxBufferedValue+1000)
+	row := "\x00\x01" + string(binary.BigEndian.AppendUint32(nil, uint32(len(value)))) + value
+	answer := pgwire.Append(pgwire.Append(nil, 'T', description), 'D', row)
+	_, _ = m.Write(answer[:len(answer)-10])
+	if _, err := io.ReadFull(r, make([]byte, len(answer)-10)); err != nil {
+		t.Fatal(err)
+	}
+	late := <-conns
+	late.enabled.Store(true)
+	g.cancel(key)
+	<-late.interrupted
+	_, _ = m.Write(answer[len(answer)-10:])
+	if rest, _ := io.ReadAll(r); len(rest) != 0 {
+		t.Errorf("%d bytes after the cancel, want none: %.40q", len(rest), rest)
+	}
+	g.waitEnded()
+}
+
 // TestRequestAfterCancel: a request that its client cancels while a member works on it is abandoned there, the client
 // gets one error for it, and its next request is served.
 func TestRequestAfterCancel(t *testing.T) {
