--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -20,57 +20,6 @@
 	"reachwind/internal/logthrottle"
 )
 
-// List is an answer of the discovery service: the whole list of members, or a
-// change of it.
-type List struct {
-	Generation int64   `json:"generation"`
-	Reset      bool    `json:"reset"` // Instances is the whole list, not a change
-	Instances  []Entry `json:"instances"`
-}
-
-// Entry is one member of a List.
-type Entry struct {
-	InstanceID  string  `json:"instanceId"`
-	HostPort    string  `json:"hostPort"`
-	Zone        string  `json:"zone"`
-	MachineType string  `json:"machineType"`
-	Cell        int64   `json:"cell"`
-	Lifecycle   string  `json:"lifecycle"`
-	Weight      float64 `json:"weight"`
-	StartedAtMs int64   `json:"startedAtMs"`
-}
-
-var lifecycleStates = map[string]decide.MemberState{
-	"ready": decide.Up, "draining": decide.Draining, "gone": decide.Removed}
-
-// EntryOf converts a member to the form that discovery uses.
-func EntryOf(m core.ListedMember) Entry {
-	e := Entry{InstanceID: m.ID, HostPort: m.Addr, Zone: m.Zone, MachineType: m.Kind, Cell: m.Group, Lifecycle: "ready", Weight: m.Weight,
-		StartedAtMs: m.Started.Milliseconds()}
-	for name, state := range lifecycleStates {
-		if state == m.State {
-			e.Lifecycle = name
-		}
-	}
-	return e
-}
-
-// Members converts the entries. It fails if an entry has no id or an unknown
-// lifecycle.
-func (l *List) Members() ([]core.ListedMember, error) {
-	list := make([]core.ListedMember, 0, len(l.Instances))
-	for _, e := range l.Instances {
-		state, ok := lifecycleStates[e.Lifecycle]
-		if !ok || e.InstanceID == "" {
-			return nil, fmt.Errorf("list: instance %q: unknown lifecycle %q", e.InstanceID, e.Lifecycle)
-		}
-		list = append(list, core.ListedMember{Addr: e.HostPort, Member: decide.Member{ID: e.InstanceID, Group: e.Cell,
-			Zone: e.Zone, Kind: e.MachineType, Weight: e.Weight, State: state,
-			Started: core.Time(e.StartedAtMs) * time.Millisecond}})
-	}
-	return list, nil
-}
-
 const (
 	endpointsPath = "/v1/endpoints"
 	// minWatchWait and watchWaitPerGateway give the wait that a watch's calls ask for. A connection that has gone
@@ -126,38 +75,6 @@
 	minEmptyCallInterval = 50 * time.Millisecond
 )
 
-// AnswerError is the error of a call without a usable answer: nothing of it arrived, or not all, or it is no list.
-// Discovery may count the call as answered, or may never have received it.
-type AnswerError struct {
-	Addr  string
-	Begun bool // some of the answer arrived
-	Err   error
-}
-
-// Error implements error.
-func (e *AnswerError) Error() string {
-	found, action := "silent", "check that it is running and reachable from this gateway"
-	if e.Begun {
-		found, action = "an incomplete answer, or one that is not a list of members", "check what it serves there"
-	}
-	return fmt.Sprintf("discovery at %s: %s (%v), wanted a list of members; if this persists, %s", e.Addr, found, e.Err, action)
-}
-
-// Unwrap returns the cause.
-func (e *AnswerError) Unwrap() error { return e.Err }
-
-// refusedError is the error of a call that reached discovery and ended without any part of a list.
-type refusedError struct {
-	took time.Duration // from the request to the refusal
-	err  error
-}
-
-// Error implements error.
-func (e *refusedError) Error() string { return fmt.Sprintf("refused after %v: %v", e.took, e.err) }
-
-// Unwrap returns the cause.
-func (e *refusedError) Unwrap() error { return e.err }
-
 // Sink receives lists, changes and failures. The client calls it on the goroutine of Run.
 type Sink func(kind decide.EventKind, members []core.ListedMember)
 
@@ -375,14 +292,7 @@
 		list, err := c.get(ctx, target, wait)
 		var members []core.ListedMember
 		if err == nil {
-			if members, err = list.Members(); err == nil && target == endpointsPath && !list.Reset {
-				if list.Reset = len(members) > 0; !list.Reset { // an empty list without the mark is no whole list
-					err = errors.New("got a change, wanted the whole list")
-				}
-			}
-			if err != nil {
-				err = &AnswerError{c.addr, true, err}
-			}
+			members, err = c.checkList(list, target == endpointsPath)
 		}
 		took := time.Since(began)
 		switch {
@@ -423,29 +333,18 @@
 	}
 }
 
-// reportFailure reports a call that is made again. Silence does not show that discovery is down, also where lists are
-// pushed: the service may have told others of changes.
-func (c *Client) reportFailure(err error, wait time.Duration) {
-	var broken *AnswerError
-	switch {
-	case isUnreachable(err, wait):
-		c.sink(decide.DiscoveryUnreachable, nil)
-	case errors.As(err, &broken):
-		c.callSink(decide.Event{Kind: decide.DiscoveryFailed, Result: decide.TimedOut})
-	default:
-		c.callSink(decide.Event{Kind: decide.DiscoveryFailed, Result: decide.Reset})
+// checkList returns the members of a list that discovery sent, which must be a whole one if whole is set.
+func (c *Client) checkList(list *List, whole bool) ([]core.ListedMember, error) {
+	members, err := list.Members()
+	if err == nil && whole && !list.Reset {
+		if list.Reset = len(members) > 0; !list.Reset { // an empty list without the mark is no whole list
+			err = errors.New("got a change, wanted the whole list")
+		}
 	}
-}
-
-// isUnreachable reports whether a call failed because discovery is down or its host refuses connections. Silence proves
-// neither, and a call that was refused after queueing reached a service that is up.
-func isUnreachable(err error, wait time.Duration) bool {
-	var broken *AnswerError
-	if errors.As(err, &broken) {
-		return false
+	if err != nil {
+		return nil, &AnswerError{c.addr, true, err}
 	}
-	var refused *refusedError
-	return !errors.As(err, &refused) || wait == 0 && refused.took < maxUnqueuedRefusal
+	return members, nil
 }
 
 // retryDelay returns the delay before the retry of a call that failed with err after took; retries counts the retries
