Take operators' changes of the list for what they are, not for discovery's answers

Cause: these changes came to decide as ListChange, which stands for an answer.

Change: they have a kind of their own, ListOverride, which changes members and nothing else; the fleet does not count it as an answer of discovery either.

Evidence: TestOperatorsChangesConfirmNothing fails with the old kind (the bound in the distant future, no call in 3 s) and passes with the new one.

--- a/decide/api.go
+++ b/decide/api.go
@@ -241,10 +241,14 @@
 	DiscoveryCalled                       // a call to discovery begins
 	DiscoveryFailed                       // the call ended without an answer; with Result TimedOut it had fallen silent
 	DiscoveryMoved                        // discovery has moved to another address, which is called next
+	ListOverride                          // Members are entries that the front's operators changed, whatever discovery lists
 )
 
 // HasList reports whether events of this kind carry members.
-func (k EventKind) HasList() bool { return k == ListFull || k == ListSaved || k == ListChange }
+func (k EventKind) HasList() bool { return k.IsWholeList() || k == ListChange || k == ListOverride }
+
+// IsWholeList reports whether events of this kind carry all members.
+func (k EventKind) IsWholeList() bool { return k == ListFull || k == ListSaved }
 
 // The budgets that fronts share, as indexes in Event.BudgetShares.
 const (
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -154,7 +154,7 @@
 	q := r.requests[e.Request]
 	switch e.Kind {
 	case ListFull, ListSaved, ListChange, ListError, DiscoveryUnreachable, SavedListCurrent, SavedListLimit,
-		DiscoveryCalled, DiscoveryFailed, DiscoveryMoved:
+		DiscoveryCalled, DiscoveryFailed, DiscoveryMoved, ListOverride:
 		r.handleList(e)
 	case Arrive:
 		r.handleArrival(e)
--- a/decide/memberlist.go
+++ b/decide/memberlist.go
@@ -37,8 +37,10 @@
 
 // handleList applies a list event: a whole list, a change or a failure.
 func (r *Router) handleList(e *Event) {
-	r.recordListEvent(e)
-	if r.cfg.ListOnRequest {
+	if e.Kind != ListOverride {
+		r.recordListEvent(e)
+	}
+	if r.cfg.ListOnRequest && e.Kind != ListOverride {
 		r.paceDiscovery(e)
 	}
 	if !e.Kind.HasList() {
@@ -49,7 +51,7 @@
 		named[e.Members[i].ID] = true
 		r.applyEntry(e.Members[i])
 	}
-	if e.Kind != ListFull && e.Kind != ListSaved {
+	if !e.Kind.IsWholeList() {
 		return
 	}
 	for _, g := range r.groupOrder {
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -536,3 +536,29 @@
 		t.Error("the first move does not bind")
 	}
 }
+
+// TestOperatorsChangesConfirmNothing guards against taking a change that operators made for an answer of discovery, which would
+// lift all bounds on the list, and end the calls to discovery.
+func TestOperatorsChangesConfirmNothing(t *testing.T) {
+	g := newRig(t, func(c *Config) { c.ListOnRequest, c.MayProbe, c.Fronts = true, false, 3 }, members())
+	g.step(Event{Kind: ListChange})
+	g.step(Event{Kind: DiscoveryCalled})
+	g.run(time.Second)
+	g.step(Event{Kind: ListError})
+	until := g.r.ListUsableUntil()
+	g.step(Event{Kind: ListOverride, Members: []Member{{ID: "s", Zone: "b", State: Draining}}})
+	if got := g.r.ListUsableUntil(); got != until {
+		t.Errorf("the list may be used until %v, before the change until %v", got, until)
+	}
+	d := &drainPlay{g: g, drains: "s"}
+	called := false
+	for range 300 {
+		called = d.ask(10*ms) || called
+	}
+	if !called {
+		t.Error("discovery is not called any more")
+	}
+	if d.lastSent != 0 || d.served != d.asked {
+		t.Errorf("sent to the member that operators took out: %v; %d of %d requests served", d.lastSent != 0, d.served, d.asked)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -371,7 +371,7 @@
 			e.Members = append(e.Members, members[i].Member)
 		}
 		if kind.HasList() {
-			if c.observer != nil && kind != decide.ListSaved {
+			if c.observer != nil && kind != decide.ListSaved && kind != decide.ListOverride {
 				c.observer.DiscoveryAnswered()
 			}
 			c.members.List(kind, members)
--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -70,7 +70,7 @@
 	if w == nil {
 		return
 	}
-	w.membership.Apply(now, kind != decide.ListChange, list, func(m decide.Member, c record.Change) {
+	w.membership.Apply(now, kind.IsWholeList(), list, func(m decide.Member, c record.Change) {
 		if c == record.Gone {
 			delete(w.positions, m.ID)
 		}
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -203,7 +203,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if kind != decide.ListChange {
+	if kind.IsWholeList() {
 		clear(s.listed)
 	}
 	for _, m := range members {
@@ -415,7 +415,7 @@
 		o.log.Error("handover: some db machines that operators took out are not known here", "entries", dropped)
 	}
 	if len(change) > 0 {
-		o.core.List(decide.ListChange, change)
+		o.core.List(decide.ListOverride, change)
 		o.log.Info("handover: db machines taken out or called back through another process", "changes", len(change))
 	}
 	o.core.Post(func() { o.handover.shared.SetAppliedChanges(count) })
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -138,7 +138,7 @@
 		o.mu.Lock()
 		change, err := apply(o.suspensions, id, o.core.Now())
 		if len(change) > 0 {
-			o.core.List(decide.ListChange, change)
+			o.core.List(decide.ListOverride, change)
 		}
 		o.mu.Unlock()
 		if err == nil {
--- a/internal/gateway/overlay.go
+++ b/internal/gateway/overlay.go
@@ -43,7 +43,7 @@
 		o.next(kind, members)
 		return
 	}
-	if kind != decide.ListChange {
+	if kind.IsWholeList() {
 		clear(o.listed)
 	}
 	for _, m := range members {
@@ -184,6 +184,6 @@
 		}
 	}
 	if len(change) > 0 {
-		o.next(decide.ListChange, change)
+		o.next(decide.ListOverride, change)
 	}
 }
--- a/internal/pgmember/pool.go
+++ b/internal/pgmember/pool.go
@@ -134,7 +134,7 @@
 		m.delisted = l.State == decide.Removed
 		p.setUsable(m, l.State == decide.Up || m.delisted && p.conf.Load().KeepDelisted)
 	}
-	if kind == decide.ListChange || p.conf.Load().KeepDelisted {
+	if !kind.IsWholeList() || p.conf.Load().KeepDelisted {
 		return
 	}
 	for id, m := range p.members {
--- a/internal/suspend/suspend.go
+++ b/internal/suspend/suspend.go
@@ -71,7 +71,7 @@
 	if !kind.HasList() {
 		return members
 	}
-	if kind != decide.ListChange {
+	if kind.IsWholeList() {
 		named := make(map[string]bool, len(members))
 		for i := range members {
 			named[members[i].ID] = true
@@ -103,7 +103,7 @@
 		named[members[i].ID] = true
 		passed = append(passed, s.rewrite(members[i]))
 	}
-	if kind == decide.ListChange {
+	if !kind.IsWholeList() {
 		return passed
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.entries)) { // the receiver may go on using members that a list omits
