--- a/internal/pgmember/answer.go
+++ b/internal/pgmember/answer.go
@@ -11,22 +11,15 @@
 
 	"reachwind/decide"
 	"reachwind/internal/core"
-	"reachwind/internal/interruptible"
 	"reachwind/internal/pgwire"
 	"reachwind/internal/settings"
 )
 
-const (
-	streamChunkSize    = 32 << 10               // bytes of a streamed answer that are read at a time
-	maxAnswerMessages  = 64                     // messages in one answer
-	stallTimeout       = 100 * time.Millisecond // a member that pauses for this long within an answer is taken to be stuck
-	streamStallTimeout = 5 * time.Second        // the same for a streamed answer, which cannot be retried elsewhere
-)
+const maxAnswerMessages = 64 // messages in one answer
 
 var (
 	errStopped       = errors.New("stopped")
 	errClosed        = errors.New("closed")
-	errStalled       = errors.New("answer stalled")
 	errInvalidAnswer = errors.New("answer out of order")
 	errUnclaimed     = errors.New("answer taken by nobody")
 	errClientWrite   = errors.New("client takes no more of the answer")
@@ -115,6 +108,7 @@
 	abandoned     bool        // only the bytes that had arrived by then are read
 	partlyWritten bool        // the statement was not written whole; some of it may have been
 	stallCheckDue bool        // a check for a stall is due
+	stallTimer    *time.Timer // has the last check made; nil: none was needed
 	begun         bool        // a byte of it arrived
 	surplus       surplus     // what preceded it
 
@@ -126,10 +120,12 @@
 	ready bool   // ReadyForQuery arrived
 
 	// Of a streamed answer.
+	client        io.Writer         // takes the parts of the answer
 	endStream     func(tail []byte) // tells the front that the answer has ended; nil: the answer is buffered whole
 	tail          []byte            // CommandComplete
 	streamedBytes int               // bytes of the value that were read
 	lastStreamed  time.Time         // when a part of it was last passed on
+	silent        bool              // its member has been silent for silenceNotice
 
 	role        decide.Role
 	hasPosition bool
@@ -229,106 +225,6 @@
 
 const readyForQuery = "Z\x00\x00\x00\x05I"
 
-// stallLimit returns how long the member may pause within the answer.
-func (a *answer) stallLimit() time.Duration {
-	if a.endStream != nil {
-		return streamStallTimeout
-	}
-	return stallTimeout
-}
-
-// mustStream reports whether head begins a row that must be streamed. Only answers to PostgreSQL clients can be.
-func (a *answer) mustStream(head []byte) bool {
-	if a.job == nil || a.job.attempt == nil || !a.described || a.row != nil || a.code != "" || !pgwire.IsLargeRow(head) {
-		return false
-	}
-	_, ok := a.job.attempt.Request.Call.(*pgwire.Statement)
-	return ok
-}
-
-// streamRow streams a row to the client as it arrives, after the messages before it. Once it starts, no other attempt
-// can answer the request.
-func (c *conn) streamRow(a *answer, onInterrupt func() error) error {
-	if a.abandoned { // abandoned: the rest of the row will not arrive
-		return errStopped
-	}
-	c.watchForStall(a, pgwire.RowHeaderSize)
-	head, err := c.Peek(pgwire.RowHeaderSize, onInterrupt)
-	if err != nil {
-		return err
-	}
-	left, err := pgwire.LargeRowValueLen(head)
-	if err != nil {
-		return err
-	}
-	s := pgwire.NewStream()
-	c.pool.core.AnswerStarted(a.job.attempt, s)
-	w, done := s.AwaitTaker()
-	if w == nil {
-		if err := onInterrupt(); err != nil {
-			return err
-		}
-		if a.abandoned { // stopped meanwhile
-			return errStopped
-		}
-		return errUnclaimed
-	}
-	a.endStream, a.row = done, head[:0]
-	a.buf.B = append(a.buf.B, head...)
-	_, _ = c.Reader.Discard(len(head))
-	if _, err := w.Write(a.buf.B); err != nil {
-		return errClientWrite
-	}
-	// Large chunks take a quarter of the CPU time of small ones; they are used while enough buffers are free.
-	if large := c.pool.bufs.Get(streamChunkSize, c.pool.reservedBuffers); large != nil {
-		a.buf.Release()
-		a.buf = large
-	}
-	chunk := a.buf.B[:min(cap(a.buf.B), streamChunkSize)]
-	a.lastStreamed = time.Now()
-	for left > 0 {
-		c.watchForStall(a, 1)
-		n, err := c.Reader.Read(chunk[:min(left, len(chunk))])
-		if n > 0 && a.job.stopped.Load() { // a read that was interrupted may still return bytes that came meanwhile
-			if err := onInterrupt(); err != nil {
-				return err
-			}
-		}
-		if n > 0 {
-			left -= n
-			a.streamedBytes += n
-			if _, err := w.Write(chunk[:n]); err != nil {
-				return errClientWrite
-			}
-			a.lastStreamed = time.Now()
-		}
-		if errors.Is(err, interruptible.ErrInterrupted) {
-			err = onInterrupt()
-		}
-		if err != nil {
-			return err
-		}
-	}
-	a.buf.Release()
-	a.buf = nil
-	return nil
-}
-
-// watchForStall schedules a check for a stall, unless one is due or the next n bytes of the answer are buffered.
-func (c *conn) watchForStall(a *answer, n int) {
-	if a.job == nil || a.stallCheckDue || c.Reader.Buffered() >= n {
-		return
-	}
-	c.scheduleStallCheck(a, a.stallLimit())
-}
-
-// scheduleStallCheck makes the goroutine check for a stall after the given time.
-func (c *conn) scheduleStallCheck(a *answer, delay time.Duration) {
-	a.stallCheckDue = true
-	j := a.job
-	time.AfterFunc(delay, func() { c.Post(order{job: j, checkStall: true}) })
-}
-
 // handleMessage handles one message of an answer. It accepts RowDescription, DataRow and
 // CommandComplete in this order, or an ErrorResponse; then ReadyForQuery.
 func (c *conn) handleMessage(a *answer, typ byte, body []byte) (err error) {
--- a/internal/pgmember/conn.go
+++ b/internal/pgmember/conn.go
@@ -45,6 +45,7 @@
 	addr      string
 	idleSince core.Time // of a connection in member.idle
 	answered  bool      // an answer was read on it before
+	stream    streamState
 
 	evictedFor *member // evicted to make room for a connection to this member; nil: not evicted, or for no member
 
@@ -316,20 +317,16 @@
 				stopResult = o.result
 				return c.stopReading(a)
 			case o.checkStall:
-				a.stallCheckDue = false
-				if a.betweenMessages {
-					continue
+				if err := c.checkStall(a); err != nil {
+					return err
 				}
-				left := a.stallLimit() - min(c.SilentFor(), time.Since(a.lastStreamed))
-				if left <= 0 {
-					return errStalled
-				}
-				c.scheduleStallCheck(a, left)
 			}
 		}
 		return nil
 	})
+	c.endStallChecks(a)
 	if a.endStream != nil { // the front waits for the end of the streamed answer
+		c.stream.open.Store(false)
 		defer func() {
 			if o.Result != decide.Served {
 				a.tail = nil
@@ -344,7 +341,7 @@
 	switch {
 	case errors.Is(err, errClientWrite), errors.Is(err, errUnclaimed):
 		return core.Outcome{Result: decide.Cancelled}
-	case errors.Is(err, pgwire.ErrTooLong), errors.Is(err, pgwire.ErrMalformed), errors.Is(err, errInvalidAnswer), errors.Is(err, errStalled),
+	case errors.Is(err, pgwire.ErrTooLong), errors.Is(err, pgwire.ErrMalformed), errors.Is(err, errInvalidAnswer), errors.Is(err, errStalled), errors.Is(err, errMemberSilent),
 		errors.Is(err, errNoBuffer), errors.Is(err, errSurplus):
 		// The member is up and has run the statement; only the answer is invalid, so nothing that it reported is used.
 		c.pool.invalidAnswerLog.Warn(c.pool.log, "answer spoilt", "member", c.member.id, "err", err)
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -25,6 +25,8 @@
 	Slots      int
 	Piece      int // bytes of an answer that a member writes at once, with PiecePause before the next ones; 0 = all
 	PiecePause time.Duration
+	PauseAfter int           // bytes of an answer after which a member pauses once for PauseFor, and goes on; 0 = it does not
+	PauseFor   time.Duration // until the cluster is closed, if that is sooner
 	Zones      []string      // of members, in turn by their place in the group; empty: all in "a"
 	Host       string        // loopback address, 127.0.0.1 if empty
 	Ports      int           // the first port, 0 = any
@@ -44,6 +46,7 @@
 	discovery  net.Listener
 	done       sync.WaitGroup
 	closed     bool
+	ended      chan struct{} // closed by Close
 }
 
 // group is the rows that its members hold in common.
@@ -104,7 +107,7 @@
 	if conf.Slots == 0 {
 		conf.Slots = 64
 	}
-	c := &Cluster{conf: conf, members: map[string]*Member{}, changed: make(chan struct{}), generation: 1}
+	c := &Cluster{conf: conf, members: map[string]*Member{}, changed: make(chan struct{}), ended: make(chan struct{}), generation: 1}
 	port := func(i int) string {
 		if conf.Ports == 0 {
 			return net.JoinHostPort(conf.Host, "0")
@@ -423,7 +426,10 @@
 // Close ends all of it.
 func (c *Cluster) Close() {
 	c.mu.Lock()
-	c.closed = true
+	if !c.closed {
+		c.closed = true
+		close(c.ended)
+	}
 	if c.discovery != nil {
 		_ = c.discovery.Close()
 	}
