--- a/internal/pgmember/conn.go
+++ b/internal/pgmember/conn.go
@@ -301,6 +301,16 @@
 	return core.Outcome{Result: decide.Unreachable}, false
 }
 
+// isSpoilt reports whether err means that an answer came, but cannot be used.
+func isSpoilt(err error) bool {
+	for _, e := range []error{pgwire.ErrTooLong, pgwire.ErrMalformed, errInvalidAnswer, errStalled, errNoBuffer, errSurplus} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // exchange writes a job's statement and reads the whole answer.
 func (c *conn) exchange(j *job, a *answer) (o core.Outcome) {
 	if o, ok := c.writeStatement(j, a); !ok {
@@ -341,8 +351,7 @@
 	switch {
 	case errors.Is(err, errClientWrite), errors.Is(err, errUnclaimed):
 		return core.Outcome{Result: decide.Cancelled}
-	case errors.Is(err, pgwire.ErrTooLong), errors.Is(err, pgwire.ErrMalformed), errors.Is(err, errInvalidAnswer), errors.Is(err, errStalled), errors.Is(err, errMemberSilent),
-		errors.Is(err, errNoBuffer), errors.Is(err, errSurplus):
+	case isSpoilt(err), errors.Is(err, errMemberSilent) && !a.complete:
 		// The member is up and has run the statement; only the answer is invalid, so nothing that it reported is used.
 		c.pool.invalidAnswerLog.Warn(c.pool.log, "answer spoilt", "member", c.member.id, "err", err)
 		return core.Outcome{Result: decide.Errored}
--- a/internal/pgmember/hang_test.go
+++ b/internal/pgmember/hang_test.go
@@ -157,6 +157,35 @@
 	}
 }
 
+// TestHangBehindValue guards against holding back the end of a value whose member hangs right behind it.
+func TestHangBehindValue(t *testing.T) {
+	reply, want := hungAnswer()
+	value := len(want) - len(readyForQuery)
+	for name, memberGoesOn := range map[string]bool{"member goes on": true, "member ends": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newHangFixture(t)
+				go func() { _, _ = f.member.Write(reply[:value]) }()
+				began := time.Now()
+				got := make([]byte, len(want))
+				if n, err := io.ReadFull(f.client, got[:value]); err != nil || time.Since(began) > 2*time.Second {
+					t.Fatalf("%d bytes of %d after %v, %v", n, value, time.Since(began), err)
+				}
+				time.Sleep(20 * time.Second)
+				if memberGoesOn {
+					go func() { _, _ = f.member.Write(reply[value:]) }()
+				} else {
+					_ = f.member.Close()
+				}
+				if n, err := io.ReadFull(f.client, got[value:]); err != nil || !bytes.Equal(got, want) {
+					t.Errorf("%d of the last bytes, %v", n, err)
+				}
+				f.end(t)
+			})
+		})
+	}
+}
+
 // TestEndOfHungAnswer guards against resources that a value holds for longer than it may: its client leaves or its member ends
 // while the member hangs, which ends it at once, or the member sends nothing for the longest time.
 func TestEndOfHungAnswer(t *testing.T) {
--- a/internal/pgmember/stall.go
+++ b/internal/pgmember/stall.go
@@ -84,7 +84,7 @@
 	}
 	c.noteSilent(a, silentFor)
 	c.scheduleStallCheck(a, maxStreamSilence-silentFor)
-	return nil
+	return c.passOnTail(a)
 }
 
 // noteSilent records that the member of a streamed answer has been silent for so long.
--- a/internal/pgmember/stream.go
+++ b/internal/pgmember/stream.go
@@ -153,3 +153,16 @@
 	a.lastStreamed = time.Now()
 	return nil
 }
+
+// passOnTail writes CommandComplete to the client while the member is silent behind it: the value is whole with it, and must
+// not be held back. Otherwise the front writes it together with ReadyForQuery.
+func (c *conn) passOnTail(a *answer) error {
+	if len(a.tail) == 0 {
+		return nil
+	}
+	if _, err := a.client.Write(a.tail); err != nil {
+		return errClientWrite
+	}
+	a.tail = a.tail[:0]
+	return nil
+}
