--- a/internal/pgmember/hang_test.go
+++ b/internal/pgmember/hang_test.go
@@ -29,6 +29,7 @@
 	member net.Conn // the member's end
 	client net.Conn // the client's end
 	cancel func()
+	log    bytes.Buffer // of the pool; read it once the owner has ended
 }
 
 const hungValueSize = pgwire.MaxBufferedValue + 50_000
@@ -53,6 +54,7 @@
 		accepted <- far
 		return near, nil
 	})
+	f.pool.log = slog.New(slog.NewTextHandler(&f.log, nil))
 	f.owner.SetObserver(f.module)
 	ctx, cancel := context.WithCancel(t.Context())
 	f.cancel = cancel
@@ -186,6 +188,29 @@
 	}
 }
 
+// TestLogOfHungAnswers guards against answers that wait for a silent member without a word to operators: which member it is, how
+// many answers wait, for how long, and when that is over.
+func TestLogOfHungAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHangFixture(t)
+		reply, want := hungAnswer()
+		go func() {
+			_, _ = f.member.Write(reply[:90_000])
+			time.Sleep(25 * time.Second)
+			_, _ = f.member.Write(reply[90_000:])
+		}()
+		if _, err := io.ReadFull(f.client, make([]byte, len(want))); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(2 * time.Second)
+		f.end(t)
+		lines := strings.Split(strings.TrimSpace(f.log.String()), "\n")
+		if len(lines) != 4 || !strings.Contains(lines[2], "member=m open=1 silent=1 longest=2") || !strings.Contains(lines[3], "any more") {
+			t.Errorf("%d lines, want one each 10 s and one for the end:\n%s", len(lines), f.log.String())
+		}
+	})
+}
+
 // TestEndOfHungAnswer guards against resources that a value holds for longer than it may: its client leaves or its member ends
 // while the member hangs, which ends it at once, or the member sends nothing for the longest time.
 func TestEndOfHungAnswer(t *testing.T) {
--- a/internal/pgmember/pool.go
+++ b/internal/pgmember/pool.go
@@ -63,9 +63,10 @@
 	delisted         bool      // no longer in the list
 	idle             []*conn   // the most recently used last
 	busy             []*conn
-	waiting          []*job // for a connection
-	connecting       int    // connections being established
-	pendingEvictions int    // connections to other members that are closing to make room for one to this member
+	waiting          []*job    // for a connection
+	connecting       int       // connections being established
+	silenceLoggedAt  core.Time // when a silence of its streamed answers was last logged; 0 = none is
+	pendingEvictions int       // connections to other members that are closing to make room for one to this member
 }
 
 // job is an attempt or a probe.
@@ -275,11 +276,12 @@
 	return true
 }
 
-// sweep closes idle connections ahead of the members' limit, and removes
+// sweep closes idle connections ahead of the members' limit, logs silences, and removes
 // members that left the list and have no connections or jobs: new members come
 // under ever new ids, so the table would grow without end.
 func (p *Pool) sweep() {
 	for id, m := range p.members {
+		p.logSilence(m)
 		if m.delisted && m.excludedSince != 0 && len(m.idle)+len(m.busy)+len(m.waiting)+m.connecting+m.pendingEvictions == 0 {
 			delete(p.members, id)
 			continue
