--- a/internal/pgmember/conn.go
+++ b/internal/pgmember/conn.go
@@ -20,9 +20,16 @@
 // Dialer opens a connection to addr, host:port. It gives up when ctx ends.
 type Dialer func(ctx context.Context, addr string) (net.Conn, error)
 
-// Dial is the Dialer for TCP.
-func Dial(ctx context.Context, addr string) (net.Conn, error) {
-	return new(net.Dialer).DialContext(ctx, "tcp", addr)
+// keepAlive ends a connection whose peer's system has acknowledged nothing for a minute, more than twice the longest hang or
+// network failure that passes (27 s). A system that acknowledges keeps its connections, however long its programs hang.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 15 * time.Second, Interval: 5 * time.Second, Count: 9}
+
+// Dial is the Dialer for TCP. Its connections end by keepalive once their peer has vanished.
+func Dial(ctx context.Context, addr string) (net.Conn, error) { return dialWith(ctx, addr, keepAlive) }
+
+func dialWith(ctx context.Context, addr string, k net.KeepAliveConfig) (net.Conn, error) {
+	dialer := net.Dialer{KeepAliveConfig: k}
+	return dialer.DialContext(ctx, "tcp", addr)
 }
 
 const readBufSize = 4 << 10 // bytes of a connection's read buffer
