--- a/internal/lab/abuse/slow.go
+++ b/internal/lab/abuse/slow.go
@@ -19,26 +19,29 @@
 )
 
 // SlowPostgresKinds returns the kinds of clients that speak PostgreSQL and hold memory, by writing or reading slowly. class is
-// a class of reads; item is an item with a large value.
-func SlowPostgresKinds(class, item string) []Kind {
+// a class of reads; item is an item with a large value, streamedItem one whose value is too large to be buffered.
+func SlowPostgresKinds(class, item, streamedItem string) []Kind {
 	startup := string(pgwire.AppendStartup(nil, "app", "shop"))
 	large := startup + string(pgwire.Append(nil, 'Q', "/* id=half,c="+class+",d=1000,cluster=0 */ SELECT doc FROM items WHERE id = 'hut' -- "+strings.Repeat("x", largeStatement), "\x00"))
 	return []Kind{
 		held("half of a large statement", func(ctx context.Context, nc net.Conn) { _, _ = io.WriteString(nc, large[:len(large)/2]) }),
 		held("large statements written slowly", func(ctx context.Context, nc net.Conn) { writeSlowly(ctx, nc, large) }),
-		held("large answers that are not read", func(ctx context.Context, nc net.Conn) {
-			_ = nc.(*net.TCPConn).SetReadBuffer(4 << 10)
-			var text strings.Builder
-			text.WriteString(startup)
-			for i := range unreadAnswers {
-				text.Write(pgwire.Append(nil, 'Q', fmt.Sprintf("/* id=%p-%d,c=%s,d=3000,cluster=0 */ SELECT doc FROM items WHERE id = '%s'", nc, i, class, item), "\x00"))
-			}
-			_, _ = io.WriteString(nc, text.String())
-		}),
+		held("large answers that are not read", func(_ context.Context, nc net.Conn) { askWithoutReading(nc, class, item) }),
+		held("streamed answers that are not read", func(_ context.Context, nc net.Conn) { askWithoutReading(nc, class, streamedItem) }),
 		held("half of a startup", func(ctx context.Context, nc net.Conn) { _, _ = io.WriteString(nc, startup[:len(startup)/2]) }),
 	}
 }
 
+// askWithoutReading sends several statements for an item at once.
+func askWithoutReading(nc net.Conn, class, item string) {
+	_ = nc.(*net.TCPConn).SetReadBuffer(4 << 10)
+	text := pgwire.AppendStartup(nil, "app", "shop")
+	for i := range unreadAnswers {
+		text = append(text, pgwire.Append(nil, 'Q', fmt.Sprintf("/* id=%p-%d,c=%s,d=3000,cluster=0 */ SELECT doc FROM items WHERE id = '%s'", nc, i, class, item), "\x00")...)
+	}
+	_, _ = nc.Write(text)
+}
+
 // SlowRESTKinds returns the kinds of clients that speak HTTP and hold memory.
 func SlowRESTKinds(class, item string) []Kind {
 	var head strings.Builder
--- a/internal/lab/abuse/soak_test.go
+++ b/internal/lab/abuse/soak_test.go
@@ -128,6 +128,7 @@
 	}
 	defer c.Close()
 	c.Seed(0, largeItem, strings.Repeat("m", largeStatement))
+	c.Seed(0, streamedItem, strings.Repeat("t", streamedValue))
 	platform, err := upgrade.New(program, t.TempDir(), c)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -463,7 +463,9 @@
 // continues to read, and detects that the client closes the connection.
 func (c *conn) streamAnswer(q *core.Request, s *pgwire.Stream) error {
 	c.s.markWriting(c)
-	s.Start(&streamWriter{c}, func(tail []byte) {
+	w := newStreamWriter(c)
+	s.Start(w, func(tail []byte) {
+		w.end()
 		c.Post(message{request: q, streamed: true, tail: tail})
 	})
 	m, err := c.awaitAnswer(q)
--- a/internal/pgfront/stream.go
+++ b/internal/pgfront/stream.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"os"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"reachwind/internal/pgwire"
@@ -13,8 +15,12 @@
 // one would hold a connection of a member for too long.
 const minStreamRate = 4 << 10
 
-// MaxStreamTime is the time that the largest answer takes at minStreamRate.
-const MaxStreamTime = pgwire.MaxRowSize / minStreamRate * time.Second
+// maxClientPause is the time for which a client may take nothing of an answer that is streamed to it, beyond what minStreamRate
+// allows: it has not gone away, and its answer would be lost.
+const maxClientPause = 30 * time.Second
+
+// MaxStreamTime is the time that the largest answer takes at minStreamRate, with a pause.
+const MaxStreamTime = pgwire.MaxRowSize/minStreamRate*time.Second + maxClientPause
 
 // maxQuickAnswer is the size in bytes up to which an answer is taken to fit into the buffers of its socket.
 const maxQuickAnswer = 16 << 10
@@ -64,19 +70,36 @@
 	return s.writing
 }
 
+var errInterrupted = errors.New("write was interrupted")
+
 // streamWriter is the sending side of a client connection while an answer is streamed.
-type streamWriter struct{ c *conn }
+type streamWriter struct {
+	c           *conn
+	timeLeft    time.Duration // for the client to read, see Write
+	interrupted atomic.Bool
+
+	mu    sync.Mutex // guards ended; not taken by Write
+	ended bool
+}
+
+// newStreamWriter returns the sending side of c.
+func newStreamWriter(c *conn) *streamWriter { return &streamWriter{c: c, timeLeft: maxClientPause} }
 
-// Write writes all of b or fails: the client must read some bytes within WriteTimeout, and all of them at minStreamRate.
+// Write writes all of b or fails: the client may pause for maxClientPause, and must else read at minStreamRate.
 func (w *streamWriter) Write(b []byte) (done int, err error) {
-	timeout := w.c.s.conf.WriteTimeout
-	deadline := time.Now().Add(timeout + time.Duration(len(b))*time.Second/minStreamRate)
+	timeToRead := time.Duration(len(b)) * time.Second / minStreamRate
+	w.timeLeft = min(w.timeLeft, maxClientPause) + timeToRead
+	began := time.Now()
+	deadline := began.Add(w.timeLeft)
 	for done < len(b) && err == nil {
-		until := time.Now().Add(timeout)
+		until := time.Now().Add(maxClientPause)
 		if until.After(deadline) {
 			until = deadline
 		}
 		_ = w.c.SetWriteDeadline(until)
+		if w.interrupted.Load() { // after the deadline is set: one that Interrupt sets comes later
+			return done, errInterrupted
+		}
 		var n int
 		n, err = w.c.Conn.Conn.Write(b[done:])
 		done += n
@@ -84,5 +107,23 @@
 			err = nil
 		}
 	}
+	w.timeLeft -= time.Since(began)
 	return done, err
 }
+
+// Interrupt implements pgwire.StreamWriter.
+func (w *streamWriter) Interrupt() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.interrupted.Store(true)
+	if !w.ended { // else the connection's goroutine writes, under its own deadline
+		_ = w.c.SetWriteDeadline(time.Unix(1, 0))
+	}
+}
+
+// end returns the sending side to the connection's goroutine.
+func (w *streamWriter) end() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+}
--- a/internal/pgmember/answer.go
+++ b/internal/pgmember/answer.go
@@ -120,12 +120,12 @@
 	ready bool   // ReadyForQuery arrived
 
 	// Of a streamed answer.
-	client        io.Writer         // takes the parts of the answer
-	endStream     func(tail []byte) // tells the front that the answer has ended; nil: the answer is buffered whole
-	tail          []byte            // CommandComplete
-	streamedBytes int               // bytes of the value that were read
-	lastStreamed  time.Time         // when a part of it was last passed on
-	silent        bool              // its member has been silent for silenceNotice
+	client        pgwire.StreamWriter // takes the parts of the answer
+	endStream     func(tail []byte)   // tells the front that the answer has ended; nil: the answer is buffered whole
+	tail          []byte              // CommandComplete
+	streamedBytes int                 // bytes of the value that were read
+	lastStreamed  time.Time           // when a part of it was last passed on
+	silent        bool                // its member has been silent for silenceNotice
 
 	role        decide.Role
 	hasPosition bool
--- a/internal/pgmember/pool.go
+++ b/internal/pgmember/pool.go
@@ -34,6 +34,7 @@
 	drainGraceFraction = 0.6 // of DrainGrace; no statement is written after it
 	sweepInterval      = time.Second
 	maxMembersHeld     = 2 * decide.MaxMembers // kept in all, including members off the list that still have connections
+	minUnreadAge       = 5 * time.Second       // a streamed answer whose client takes nothing for so long ends where connections are short
 	boundMargin        = 2 * time.Millisecond  // data ages further until the last byte of the statement is written
 )
 
@@ -51,7 +52,7 @@
 	jobs              map[*core.Attempt]*job
 	positionsReported atomic.Bool // some member has reported a log position
 
-	invalidAnswerLog, surplusLog, brokenStreamLog, connectFailedLog, noConnsLog, listTooLongLog logthrottle.Line
+	invalidAnswerLog, surplusLog, brokenStreamLog, connectFailedLog, noConnsLog, unreadLog, listTooLongLog logthrottle.Line
 
 	beforeWrite func(*job) // test hook: called right before a job's statement is written
 }
@@ -211,6 +212,7 @@
 	case j.conn != nil:
 		j.conn.cancelWrite(j)
 		if result != decide.NotSent {
+			j.conn.stream.interrupt()
 			j.conn.Post(order{job: j, stop: true, result: result})
 		}
 	case slices.Contains(j.member.waiting, j): // no byte of it was written
@@ -244,7 +246,7 @@
 func (p *Pool) connectWaiting(m *member) {
 	for m.connecting+m.pendingEvictions < len(m.waiting) {
 		if p.openCount >= p.maxConns { // a descriptor is free only once an evicted connection has ended
-			if !p.evictOldest(m) {
+			if !p.evictOldest(m) && !p.evictUnread(m) {
 				p.noConnsLog.Warn(p.log, "out of member connections", "open", p.openCount, "member", m.id)
 				p.finishJob(m.waiting[len(m.waiting)-1], core.Outcome{Result: decide.NotSent})
 			}
@@ -276,6 +278,28 @@
 	return true
 }
 
+// evictUnread ends the streamed answer whose client has taken nothing for longest, and for minUnreadAge at least, and reports
+// whether there was one. Once its connection has ended, one to the given member takes its place.
+func (p *Pool) evictUnread(to *member) bool {
+	var oldest *conn
+	since := p.core.Now() - minUnreadAge
+	for _, m := range p.members {
+		for _, c := range m.busy {
+			if at := core.Time(c.stream.writingSince.Load()); at != 0 && at < since && c.evictedFor == nil {
+				oldest, since = c, at
+			}
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.unreadLog.Info(p.log, "long answer ended to make room: its client reads nothing", "member", oldest.member.id)
+	oldest.evictedFor = to
+	to.pendingEvictions++
+	oldest.stream.interrupt()
+	return true
+}
+
 // sweep closes idle connections ahead of the members' limit, logs silences, and removes
 // members that left the list and have no connections or jobs: new members come
 // under ever new ids, so the table would grow without end.
@@ -320,7 +344,7 @@
 func (p *Pool) connReady(c *conn) {
 	m := c.member
 	m.busy = slices.DeleteFunc(m.busy, func(o *conn) bool { return o == c })
-	if m.excludedSince != 0 || c.addr != m.addr {
+	if m.excludedSince != 0 || c.addr != m.addr || c.evictedFor != nil {
 		c.close()
 		return
 	}
--- a/internal/pgmember/stream.go
+++ b/internal/pgmember/stream.go
@@ -15,8 +15,16 @@
 
 // streamState is what other goroutines may see of the answer that a connection streams.
 type streamState struct {
-	open        atomic.Bool
-	silentSince atomic.Int64 // core.Time since when its member has been silent, 0: it is not, or for less than silenceNotice
+	client       atomic.Pointer[pgwire.StreamWriter] // nil: no answer is streamed
+	silentSince  atomic.Int64                        // core.Time since when its member has been silent, 0: it is not, or for less than silenceNotice
+	writingSince atomic.Int64                        // core.Time since when a part of it has been written to the client, 0: none is
+}
+
+// interrupt ends the stream, if there is one, also while its client takes nothing.
+func (s *streamState) interrupt() {
+	if w := s.client.Load(); w != nil {
+		(*w).Interrupt()
+	}
 }
 
 // mustStream reports whether head begins a row that must be streamed. Only answers to PostgreSQL clients can be.
@@ -49,10 +57,9 @@
 	a.row = head[:0]
 	a.buf.B = append(a.buf.B, head...)
 	_, _ = c.Reader.Discard(len(head))
-	if _, err := a.client.Write(a.buf.B); err != nil {
-		return errClientWrite
+	if err := c.writeToClient(a, a.buf.B); err != nil {
+		return err
 	}
-	a.lastStreamed = time.Now()
 	c.releaseBuffer(a)
 	c.takeChunkBuffer(a)
 	for left > 0 {
@@ -81,7 +88,7 @@
 		return errUnclaimed
 	}
 	a.client, a.endStream = w, done
-	c.stream.open.Store(true)
+	c.stream.client.Store(&w)
 	return nil
 }
 
@@ -147,7 +154,15 @@
 	}
 	c.noteSound(a)
 	a.streamedBytes += len(chunk)
-	if _, err := a.client.Write(chunk); err != nil {
+	return c.writeToClient(a, chunk)
+}
+
+// writeToClient writes a part of the answer to the client.
+func (c *conn) writeToClient(a *answer, b []byte) error {
+	c.stream.writingSince.Store(int64(c.pool.core.Now()))
+	_, err := a.client.Write(b)
+	c.stream.writingSince.Store(0)
+	if err != nil {
 		return errClientWrite
 	}
 	a.lastStreamed = time.Now()
@@ -160,9 +175,7 @@
 	if len(a.tail) == 0 {
 		return nil
 	}
-	if _, err := a.client.Write(a.tail); err != nil {
-		return errClientWrite
-	}
+	err := c.writeToClient(a, a.tail)
 	a.tail = a.tail[:0]
-	return nil
+	return err
 }
--- a/internal/pgwire/stream.go
+++ b/internal/pgwire/stream.go
@@ -36,9 +36,16 @@
 // stream before a client's connection has it.
 type Stream struct{ takers chan taker }
 
+// StreamWriter takes the parts of a streamed answer.
+type StreamWriter interface {
+	io.Writer
+	// Interrupt has the write that is under way fail, and all later ones. Any goroutine may call it.
+	Interrupt()
+}
+
 // taker is the writer of an answer, with the function to call at its end; a nil writer means that the stream was released.
 type taker struct {
-	w    io.Writer
+	w    StreamWriter
 	done func(tail []byte)
 }
 
@@ -47,7 +54,7 @@
 
 // Start has the answer written to w, from another goroutine. done is called once at the end: with the messages that remain
 // to be written before ReadyForQuery, or with nil if the answer was cut short.
-func (s *Stream) Start(w io.Writer, done func(tail []byte)) { s.resolve(taker{w, done}) }
+func (s *Stream) Start(w StreamWriter, done func(tail []byte)) { s.resolve(taker{w, done}) }
 
 // Release says that nobody will start the stream; after Start it does nothing.
 func (s *Stream) Release() { s.resolve(taker{}) }
@@ -62,7 +69,7 @@
 
 // AwaitTaker waits until the stream is started or released; w is nil if it was released. The member's connection calls it,
 // once.
-func (s *Stream) AwaitTaker() (w io.Writer, done func(tail []byte)) {
+func (s *Stream) AwaitTaker() (w StreamWriter, done func(tail []byte)) {
 	t := <-s.takers
 	return t.w, t.done
 }
