--- a/decide/decide.go
+++ b/decide/decide.go
@@ -160,7 +160,7 @@
 		r.handleArrival(e)
 	case FirstByte:
 		if q != nil {
-			q.streaming = true
+			q.streaming, q.firstByteAt = true, r.now
 		}
 	case Outcome:
 		r.handleOutcome(e)
@@ -691,7 +691,11 @@
 // connection that broke or was not possible begins it, and late answers raise the slowdown and the
 // latency ratio.
 func (r *Router) updateHealth(m *member, a *attempt, e *Event) {
-	took := float64(max(r.now-a.sent, 1))
+	answeredAt := r.now
+	if a.request.streaming { // the rest shows how its client reads, or a hang
+		answeredAt = a.request.firstByteAt
+	}
+	took := float64(max(answeredAt-a.sent, 1))
 	switch e.Result {
 	case Served:
 		k := a.request.class
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1196,3 +1196,21 @@
 		}
 	}
 }
+
+// TestHungStreamedWrite guards against members that look slow, and classes that look costly, after streamed answers to writes that
+// hung for long: their time is that to the first byte.
+func TestHungStreamedWrite(t *testing.T) {
+	g := newRig(t, nil, members())
+	for id := range uint64(20) {
+		m := g.sentTo(g.arrive(id, keyed, 2*time.Second, "k"), id)
+		g.run(50 * ms)
+		g.step(Event{Kind: FirstByte, Request: id, Member: m})
+		g.run(25 * time.Second)
+		if as := g.answer(id, 0, m, Served, Primary, g.now); len(actionsOf(as, Cancel, id)) > 0 {
+			t.Errorf("actions %+v", as)
+		}
+	}
+	if m := g.r.members["p"]; m.servedSlowdown > 2 || g.r.classes[keyed].cost > float64(100*ms) {
+		t.Errorf("slowdown %.1f, cost of the class %v", m.servedSlowdown, Time(g.r.classes[keyed].cost))
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -135,6 +135,7 @@
 	firstRunAt                  Time
 	firstRunZone                string
 	ended, streaming            bool
+	firstByteAt                 Time                  // of a streamed answer
 	avoidUntil                  map[*member]Time      // members that refused it, and until when they are left out
 	admissions                  map[*member]admission // at members in slow start
 }
