--- a/internal/gateway/shutdown_stream_test.go
+++ b/internal/gateway/shutdown_stream_test.go
@@ -5,11 +5,15 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"reachwind/decide"
+	"reachwind/internal/core"
 	"reachwind/internal/pgwire"
 	"reachwind/internal/standin/cluster"
 	"reachwind/internal/standin/pipenet"
@@ -38,6 +42,18 @@
 	return n, err
 }
 
+// changeMembers has discovery tell that all members drain, are gone, and have come back under another address and start time.
+func changeMembers(g *instance, c *cluster.Cluster) {
+	for _, state := range []decide.MemberState{decide.Draining, decide.Removed, decide.Up} {
+		var list []core.ListedMember
+		for _, m := range c.Members() {
+			list = append(list, core.ListedMember{Addr: "elsewhere:1", Member: decide.Member{ID: m.ID, Zone: m.Zone, State: state, Started: g.core.Now()}})
+		}
+		g.core.List(decide.ListChange, list)
+		time.Sleep(time.Second)
+	}
+}
+
 // TestStreamedAnswerAtShutdown guards against cutting off an answer that is streamed when the process is told to end, also
 // while its member hangs, and against a process that ends later than before where nothing is streamed, or never where nothing moves.
 func TestStreamedAnswerAtShutdown(t *testing.T) {
@@ -49,6 +65,7 @@
 	for name, tc := range map[string]struct {
 		client, member pacedConn
 		memberHangs    time.Duration // once, after limit bytes
+		listChanges    bool          // and a reload come while the member hangs
 		valueBytes     int
 		whole          bool
 		from, to       time.Duration // when the process ends, from SIGTERM on
@@ -58,6 +75,8 @@
 		"slow, largest value": {client: pacedConn{pace: pace, pause: pause}, valueBytes: 4 << 20, whole: true, from: 24 * time.Second, to: 27 * time.Second},
 		"client stands still": {client: pacedConn{pace: pace, pause: pause, limit: limit}, valueBytes: 1 << 20, from: 29 * time.Second, to: 32 * time.Second},
 		"member hangs":        {memberHangs: 25 * time.Second, valueBytes: 1 << 20, whole: true, from: 24 * time.Second, to: 26 * time.Second},
+		"member hangs, drains and is listed anew": {memberHangs: 25 * time.Second, listChanges: true, valueBytes: 1 << 20, whole: true,
+			from: 20 * time.Second, to: 26 * time.Second},
 		"member stands still": {memberHangs: time.Hour, valueBytes: 1 << 20, from: 119 * time.Second, to: 121 * time.Second},
 		"slow, buffered":      {client: pacedConn{pace: 2 << 10, pause: 185 * time.Millisecond}, valueBytes: 60 << 10, whole: true, from: 3700 * time.Millisecond, to: 6 * time.Second},
 		"no stream":           {valueBytes: 100, whole: true, to: 700 * time.Millisecond},
@@ -83,7 +102,12 @@
 					paced.Conn = nc
 					return &paced, nil
 				}
-				g, err := build(conf, Options{Version: "test", Log: slog.New(slog.DiscardHandler), Dial: dial})
+				path := filepath.Join(t.TempDir(), "config.json")
+				if err := os.WriteFile(path, configWith(t, c, "repeatable", 3*time.Second), 0o600); err != nil {
+					t.Fatal(err)
+				}
+				var log strings.Builder
+				g, err := build(conf, Options{ConfigPath: path, Version: "test", Log: slog.New(slog.NewTextHandler(&log, nil)), Dial: dial})
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -114,6 +138,10 @@
 					t.Fatal(err)
 				}
 				time.Sleep(500 * time.Millisecond)
+				if tc.listChanges {
+					changeMembers(g, c)
+					g.reload(time.Now())
+				}
 				termAt := time.Now()
 				end()
 				if err := <-ended; err != nil {
@@ -126,6 +154,9 @@
 				if got := <-received; strings.Contains(got, "TDCZ") != tc.whole {
 					t.Errorf("received messages %.200q, whole %v wanted", got, tc.whole)
 				}
+				if tc.listChanges && !strings.Contains(log.String(), "msg=reloaded") {
+					t.Error("the configuration was not reloaded: ", log.String())
+				}
 				c.Close()
 			})
 		})
--- a/internal/lab/upgrade/stream_test.go
+++ b/internal/lab/upgrade/stream_test.go
@@ -13,10 +13,10 @@
 	"reachwind/internal/standin/cluster"
 )
 
-// TestStreamedAnswerDuringUpgrade guards against cutting off an answer that a replaced process is streaming, and against clients
-// that have to wait for it: the next process serves meanwhile, and the old one ends when the answer has.
+// TestStreamedAnswerDuringUpgrade guards against cutting off an answer that a replaced process is streaming while its member hangs, and
+// against clients that have to wait for it: the next process serves meanwhile, and the old one ends when the answer has.
 func TestStreamedAnswerDuringUpgrade(t *testing.T) {
-	c, err := cluster.Start(cluster.Config{Groups: 1, Replicas: 1, Piece: 16 << 10, PiecePause: 100 * time.Millisecond})
+	c, err := cluster.Start(cluster.Config{Groups: 1, Replicas: 1, Piece: 16 << 10, PiecePause: 100 * time.Millisecond, PauseAfter: 200 << 10, PauseFor: 8 * time.Second})
 	if err != nil {
 		t.Fatal(err)
 	}
