--- a/internal/pgmember/pass_test.go
+++ b/internal/pgmember/pass_test.go
@@ -62,6 +62,7 @@
 	noFault fault = iota
 	memberBreaks
 	memberStalls
+	memberHangs // and goes on
 	badHead
 	errorAfter
 	badTag
@@ -75,7 +76,7 @@
 // the whole answer or can tell that it is incomplete; each attempt has one outcome, none begins once the client has got
 // a byte, and all buffers and connections are released.
 func TestStreamedAnswer(t *testing.T) {
-	for seed := range uint64(450) {
+	for seed := range uint64(500) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				checkStreamedAnswer(t, rand.New(rand.NewPCG(seed, 1)), fault(seed%uint64(faultKinds)))
@@ -146,9 +147,10 @@
 				if _, err := b.Write(markerAnswer); err != nil {
 					return
 				}
+				pausing := f == memberBreaks || f == memberStalls || f == memberHangs
 				for from := 0; from < len(reply); {
 					n := min(1+rnd.IntN(1+rnd.IntN(1<<rnd.IntN(16))), len(reply)-from)
-					if (f == memberBreaks || f == memberStalls) && from+n > at {
+					if pausing && from+n > at {
 						n = at - from
 					}
 					if _, err := b.Write(reply[from : from+n]); err != nil {
@@ -160,6 +162,10 @@
 						}
 						return
 					}
+					if pausing && from == at {
+						pausing = false
+						time.Sleep(time.Duration(rnd.IntN(27_000)) * time.Millisecond)
+					}
 					if rnd.IntN(50) == 0 {
 						time.Sleep(time.Duration(rnd.IntN(80)) * time.Millisecond)
 					}
@@ -208,7 +214,7 @@
 		if !bytes.HasPrefix(want, answer[:min(len(answer), len(want))]) {
 			t.Errorf("%d bytes that are not from the answer", len(answer))
 		}
-	case f == noFault || f == moreAfter:
+	case f == noFault || f == moreAfter || f == memberHangs && begun:
 		if !served || ended.Load() || last != decide.Served {
 			t.Errorf("%d bytes of %d, ended %v, outcome %d", len(answer), len(want), ended.Load(), last)
 		}
@@ -219,7 +225,7 @@
 		t.Errorf("not begun: %q, %d attempts", answer[:min(len(answer), 40)], d.sent)
 	}
 	keeps := int32(0)
-	if f == noFault || f == errorAfter {
+	if f == noFault || f == errorAfter || f == memberHangs && served {
 		keeps = 1
 	}
 	if out.Load() > 1 || f != clientLeaves && f != clientStopsReading && out.Load() != keeps {
