--- a/internal/pgmember/conn.go
+++ b/internal/pgmember/conn.go
@@ -343,7 +343,7 @@
 	})
 	c.endStallChecks(a)
 	if a.endStream != nil { // the front waits for the end of the streamed answer
-		c.stream.client.Store(nil)
+		c.stream.current.Store(nil)
 		defer func() {
 			if o.Result != decide.Served {
 				a.tail = nil
--- a/internal/pgmember/hang_test.go
+++ b/internal/pgmember/hang_test.go
@@ -66,6 +66,14 @@
 	buf := make([]byte, 4<<10)
 	_, _ = f.member.Read(buf) // the startup comes in one write
 	_, _ = f.member.Write(pgwire.AppendReadyForQuery(pgwire.Append(nil, 'R', "\x00\x00\x00\x00")))
+	f.awaitStatement(t)
+	return f
+}
+
+// awaitStatement plays the member up to its next statement.
+func (f *hangFixture) awaitStatement(t *testing.T) {
+	t.Helper()
+	buf := make([]byte, 4<<10)
 	for text := ""; len(text) <= len(syncMarker) || !strings.HasSuffix(text, "\x00"); {
 		n, err := f.member.Read(buf)
 		if err != nil {
@@ -74,7 +82,6 @@
 		text += string(buf[:n])
 	}
 	_, _ = f.member.Write(markerAnswer)
-	return f
 }
 
 // connect connects a client that sends one statement, and returns its end with its cancel key.
@@ -198,6 +205,36 @@
 	}
 }
 
+// TestStreamAfterProbe guards against the time-out of a probe that was answered ending an answer that its connection streams since.
+func TestStreamAfterProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHangFixture(t)
+		_, _ = f.member.Write(rowAnswer("v"))
+		if _, err := io.ReadFull(f.client, make([]byte, len(servedAnswer)+len(readyForQuery))); err != nil {
+			t.Fatal(err)
+		}
+		f.owner.Post(func() { f.pool.Probe("m") })
+		f.awaitStatement(t)
+		_, _ = f.member.Write(rowAnswer("x0=1,x1=1"))
+		synctest.Wait()
+		go func() {
+			_, _ = f.client.Write(pgwire.Append(nil, 'Q', "/* id=2,c=r,d=400,cluster=0 */ SELECT doc FROM items WHERE id = 'k'\x00"))
+		}()
+		f.awaitStatement(t)
+		reply, want := hungAnswer()
+		go func() {
+			_, _ = f.member.Write(reply[:90_000])
+			time.Sleep(time.Second)
+			_, _ = f.member.Write(reply[90_000:])
+		}()
+		got := make([]byte, len(want))
+		if n, err := io.ReadFull(f.client, got); err != nil || !bytes.Equal(got, want) {
+			t.Errorf("%d bytes of %d, %v", n, len(want), err)
+		}
+		f.end(t)
+	})
+}
+
 // TestLogOfHungAnswers guards against answers that wait for a silent member without a word to operators: which member it is, how
 // many answers wait, for how long, and when that is over.
 func TestLogOfHungAnswers(t *testing.T) {
--- a/internal/pgmember/pass_test.go
+++ b/internal/pgmember/pass_test.go
@@ -34,8 +34,9 @@
 func (d *retryOnce) RequestEnded(_ *core.Request, v core.Verdict, _ core.Time) {
 	d.verdicts = append(d.verdicts, v)
 }
-func (d *retryOnce) Answered(string)    {}
-func (d *retryOnce) DiscoveryAnswered() {}
+func (d *retryOnce) Answered(string)     {}
+func (d *retryOnce) Probed(string, bool) {}
+func (d *retryOnce) DiscoveryAnswered()  {}
 
 func (d *retryOnce) Step(_ core.Time, events []decide.Event, out []decide.Action) []decide.Action {
 	for _, e := range events {
--- a/internal/pgmember/pool.go
+++ b/internal/pgmember/pool.go
@@ -212,7 +212,7 @@
 	case j.conn != nil:
 		j.conn.cancelWrite(j)
 		if result != decide.NotSent {
-			j.conn.stream.interrupt()
+			j.conn.stream.interrupt(j)
 			j.conn.Post(order{job: j, stop: true, result: result})
 		}
 	case slices.Contains(j.member.waiting, j): // no byte of it was written
@@ -296,7 +296,9 @@
 	p.unreadLog.Info(p.log, "long answer ended to make room: its client reads nothing", "member", oldest.member.id)
 	oldest.evictedFor = to
 	to.pendingEvictions++
-	oldest.stream.interrupt()
+	if o := oldest.stream.current.Load(); o != nil {
+		o.client.Interrupt()
+	}
 	return true
 }
 
--- a/internal/pgmember/silence.go
+++ b/internal/pgmember/silence.go
@@ -20,7 +20,7 @@
 // countStreams counts the answers that m streams.
 func (m *member) countStreams(now core.Time) (n streamCounts) {
 	for _, c := range m.busy {
-		if c.stream.client.Load() == nil {
+		if c.stream.current.Load() == nil {
 			continue
 		}
 		n.open++
--- a/internal/pgmember/stream.go
+++ b/internal/pgmember/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -15,15 +16,21 @@
 
 // streamState is what other goroutines may see of the answer that a connection streams.
 type streamState struct {
-	client       atomic.Pointer[pgwire.StreamWriter] // nil: no answer is streamed
-	silentSince  atomic.Int64                        // core.Time since when its member has been silent, 0: it is not, or for less than silenceNotice
-	writingSince atomic.Int64                        // core.Time since when a part of it has been written to the client, 0: none is
+	current      atomic.Pointer[openStream] // nil: no answer is streamed
+	silentSince  atomic.Int64               // core.Time since when its member has been silent, 0: it is not, or for less than silenceNotice
+	writingSince atomic.Int64               // core.Time since when a part of it has been written to the client, 0: none is
 }
 
-// interrupt ends the stream, if there is one, also while its client takes nothing.
-func (s *streamState) interrupt() {
-	if w := s.client.Load(); w != nil {
-		(*w).Interrupt()
+// openStream is an answer that is being streamed.
+type openStream struct {
+	job    *job // that it answers
+	client pgwire.StreamWriter
+}
+
+// interrupt ends the stream of a job's answer, if it is open, also while its client takes nothing.
+func (s *streamState) interrupt(j *job) {
+	if o := s.current.Load(); o != nil && o.job == j {
+		o.client.Interrupt()
 	}
 }
 
@@ -88,7 +95,7 @@
 		return errUnclaimed
 	}
 	a.client, a.endStream = w, done
-	c.stream.client.Store(&w)
+	c.stream.current.Store(&openStream{a.job, w})
 	return nil
 }
 
@@ -163,7 +170,7 @@
 	_, err := a.client.Write(b)
 	c.stream.writingSince.Store(0)
 	if err != nil {
-		return errClientWrite
+		return fmt.Errorf("%w: %w", errClientWrite, err)
 	}
 	a.lastStreamed = time.Now()
 	return nil
